--- /dev/null
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -0,0 +1,5 @@
+package medlarroute.cli
+
+fun main(args: Array<String>) {
+    println("medlarroute ${args.joinToString(" ")}")
+}
