--- /dev/null
+++ b/core/src/main/kotlin/medlarroute/core/Answer.kt
@@ -0,0 +1,78 @@
+package medlarroute.core
+
+import kotlin.time.Duration
+
+/** The one answer to a submission. There is no partial answer. */
+public sealed interface Answer {
+    /** All tasks are done; [outputs] has one entry for each task, in the order of the job's tasks. */
+    public data class Complete(public val outputs: List<String>) : Answer
+
+    /** The job did not complete, and at least one of its tasks may have run. */
+    public data class Failed(public val code: FailureCode, public val detail: String) : Answer
+
+    /** No task of the job was started, or each start was proved not to have taken place. */
+    public data class Refused(public val findings: List<Refusal>, public val retryAfter: Duration? = null) : Answer
+}
+
+/** Why a job failed although it may have run. */
+public enum class FailureCode {
+    /** A backend server ran a task and reported an error. */
+    TASK_FAILED,
+
+    /** A task was sent and no reply proves whether it ran. */
+    TASK_LOST,
+
+    /** The deadline passed before all tasks were done. */
+    DEADLINE,
+
+    /** The caller cancelled the job after a task had been sent. */
+    CANCELLED,
+
+    /** The home of the submission was restarted, is dead or can't be reached. */
+    HOME_LOST,
+
+    /** The submission was handled before and its answer is no longer kept. */
+    ANSWER_EXPIRED,
+
+    /** The platform's table can't tell whether the idempotency key was used before. Nothing was started this time. */
+    CLAIM_UNKNOWN,
+}
+
+/** One reason for which a job was refused; [place] points into the request, the rules or the state. */
+public data class Refusal(public val code: RefusalCode, public val place: String, public val message: String)
+
+/** Why a job was refused. */
+public enum class RefusalCode {
+    /** The request can't be read or breaks a limit. */
+    MALFORMED,
+
+    /** No backend server could ever run the job. */
+    CAN_NEVER_RUN,
+
+    /** The deadline can't be met at the present load. */
+    OVERLOAD,
+
+    /** The team is above its quota. */
+    QUOTA,
+
+    /** The caller has too many open jobs. */
+    CALLER_LIMIT,
+
+    /** The instance is stopping. */
+    DRAINING,
+
+    /** The instance has no rules yet. */
+    NO_RULES,
+
+    /** The submission id was used before with another request. */
+    DIGEST_MISMATCH,
+
+    /** The ticket takes no new submissions: its window is full or its home was replaced. */
+    TICKET_CLOSED,
+
+    /** The home never issued the ticket, or issued it to another caller. */
+    UNKNOWN_TICKET,
+
+    /** The caller cancelled the job before any task was sent. */
+    CANCELLED,
+}
