--- a/core/src/main/kotlin/medlarroute/core/Answer.kt
+++ b/core/src/main/kotlin/medlarroute/core/Answer.kt
@@ -46,6 +46,12 @@
     /** The request can't be read or breaks a limit. */
     MALFORMED,
 
+    /** The caller could not be authenticated. */
+    NOT_AUTHENTICATED,
+
+    /** The body or a payload is larger than allowed. */
+    TOO_LARGE,
+
     /** No backend server could ever run the job. */
     CAN_NEVER_RUN,
 
--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -86,6 +86,9 @@
  * @property pingIntervalMs interval of HTTP/2 PINGs on a connection.
  * @property silentAfterMs time without any byte, while requests are outstanding, after which a connection is given up.
  * @property maxDecisionAgeMs age beyond which a start is not sent any more.
+ * @property leaseMs longest lease asked for at once; longer tasks have theirs renewed, so that the tasks of a dead
+ *   entry instance end soon.
+ * @property threads threads that exchange messages with backend servers.
  */
 @Serializable
 public data class BackendSettings(
@@ -93,6 +96,8 @@
     public val pingIntervalMs: Long = 1_000,
     public val silentAfterMs: Long = 3_000,
     public val maxDecisionAgeMs: Long = 500,
+    public val leaseMs: Long = 5_000,
+    public val threads: Int = 2,
 )
 
 /** How a stopping instance ends. [limitMs] is at least the longest timeout of a job, so that no request is cut. */
--- /dev/null
+++ b/server/src/main/kotlin/medlarroute/server/BackendClient.kt
@@ -0,0 +1,64 @@
+package medlarroute.server
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.Endpoint
+import com.linecorp.armeria.common.SessionProtocol
+import com.linecorp.armeria.common.util.EventLoopGroups
+import medlarroute.core.BackendId
+import medlarroute.core.BackendSettings
+import medlarroute.core.Effect
+import medlarroute.core.Input
+import medlarroute.core.NotStartedReason
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+
+/**
+ * Sends tasks to backend servers over HTTP/2, with one connection for each backend server.
+ *
+ * Every [start] ends in exactly one of [Input.TaskDone], [Input.TaskFailed], [Input.TaskNotStarted] and
+ * [Input.TaskLost], offered to [sink]. Thread-safe and non-blocking.
+ *
+ * @param elapsed time base of [Effect.Start.decidedAt].
+ */
+internal class BackendClient(
+    private val settings: BackendSettings,
+    private val addresses: BackendAddresses,
+    private val sink: InputSink,
+    private val elapsed: () -> Duration,
+    private val observer: BackendObserver = BackendObserver.None,
+) : AutoCloseable {
+    private val factory = ClientFactory.builder()
+        .workerGroup(EventLoopGroups.newEventLoopGroup(settings.threads, "backend"), true)
+        .maxNumEventLoopsPerEndpoint(1)
+        .connectTimeoutMillis(settings.connectTimeoutMs)
+        .idleTimeoutMillis(0)
+        .build()
+    private val lanes = ConcurrentHashMap<BackendId, BackendLane>()
+
+    /** Sends the task unless the decision is too old or no address is known. */
+    fun start(start: Effect.Start) {
+        val lane = laneOf(start.backend)
+        if (lane != null) return lane.start(start)
+        observer.notStarted(NotStartedReason.NOT_DELIVERED)
+        sink.offer(Input.TaskNotStarted(start.task, NotStartedReason.NOT_DELIVERED))
+    }
+
+    /** Tells the backend server to stop the task; best effort. */
+    fun stop(stop: Effect.Stop) {
+        lanes[stop.backend]?.stop(stop.task)
+    }
+
+    override fun close(): Unit = factory.close()
+
+    private fun laneOf(id: BackendId): BackendLane? {
+        val address = addresses.addressOf(id) ?: return lanes[id]
+        return lanes.compute(id) { _, lane -> lane?.takeIf { it.address == address } ?: open(address) }
+    }
+
+    private fun open(address: BackendAddress): BackendLane {
+        val endpoint = Endpoint.of(address.host, address.port)
+        // Held for the life of the lane, so that the requests of an endpoint share one event loop and connection.
+        val eventLoop = factory.acquireEventLoop(SessionProtocol.H2C, endpoint, endpoint).get()
+        return BackendLane(address, factory, eventLoop, settings, sink, elapsed, observer)
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -0,0 +1,279 @@
+package medlarroute.server
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.Clients
+import com.linecorp.armeria.client.Endpoint
+import com.linecorp.armeria.client.RequestOptions
+import com.linecorp.armeria.client.UnprocessedRequestException
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.SessionProtocol
+import com.linecorp.armeria.common.logging.RequestLogProperty
+import com.linecorp.armeria.common.util.Exceptions
+import io.netty.channel.EventLoop
+import io.netty.util.concurrent.ScheduledFuture
+import kotlinx.serialization.SerializationException
+import medlarroute.core.BackendSettings
+import medlarroute.core.BackendUsage
+import medlarroute.core.Effect
+import medlarroute.core.Input
+import medlarroute.core.NotStartedReason
+import medlarroute.core.TaskId
+import org.apache.logging.log4j.LogManager
+import java.net.URLEncoder
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Everything that is exchanged with one backend server. All state is confined to [eventLoop]. */
+internal class BackendLane(
+    val address: BackendAddress,
+    factory: ClientFactory,
+    private val eventLoop: EventLoop,
+    private val settings: BackendSettings,
+    private val sink: InputSink,
+    private val elapsed: () -> Duration,
+    private val observer: BackendObserver,
+) {
+    /** A start that was sent and has not ended. */
+    private inner class Attempt(val start: Effect.Start) {
+        val sentAt = elapsed()
+        var connection: BackendConnection? = null
+        var renewal: ScheduledFuture<*>? = null
+
+        val remaining: Duration get() = start.lease - (elapsed() - sentAt)
+    }
+
+    private val client = WebClient.builder(SessionProtocol.H2C, Endpoint.of(address.host, address.port))
+        .factory(factory)
+        .build()
+    private val attempts = HashMap<TaskId, Attempt>()
+    private var leaving = false
+
+    fun start(start: Effect.Start): Unit = eventLoop.execute { sendUnlessStale(start) }
+
+    fun stop(task: TaskId): Unit = eventLoop.execute { sendStop(task) }
+
+    /** The process may have been paused since the decision, so its age is checked right before the send. */
+    private fun sendUnlessStale(start: Effect.Start) {
+        if (elapsed() - start.decidedAt > settings.maxDecisionAgeMs.milliseconds) {
+            return notStarted(start.task, NotStartedReason.STALE, null)
+        }
+        val attempt = Attempt(start)
+        attempts[start.task] = attempt
+        observer.started()
+        Clients.newContextCaptor().use { captor ->
+            val response = client.execute(startRequest(start), responseTimeout(start.lease + REPLY_MARGIN))
+            captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
+                log.channel()?.let { onEventLoop { connected(attempt, BackendConnection.of(it, ::goAwayReceived)) } }
+            }
+            response.aggregate().handle { reply, cause -> onEventLoop { ended(attempt, reply, cause) } }
+        }
+        if (start.lease > settings.leaseMs.milliseconds) scheduleRenewal(attempt)
+    }
+
+    private fun startRequest(start: Effect.Start): HttpRequest {
+        val leaseMs = leaseMs(start.lease)
+        val message =
+            StartMessage(start.task.toString(), start.kind.value, start.payload, leaseMs, start.idempotent)
+        return jsonRequest(HttpMethod.POST, "/v1/tasks", backendJson.encodeToString(message))
+    }
+
+    private fun connected(attempt: Attempt, connection: BackendConnection) {
+        if (attempts[attempt.start.task] !== attempt) return
+        attempt.connection = connection
+        connection.begin()
+        watch(connection)
+    }
+
+    /** Pings a connection on which nothing arrives and gives it up after a while; runs only while requests wait. */
+    private fun watch(connection: BackendConnection) {
+        if (connection.watched) return
+        connection.watched = true
+        val intervalMs = settings.pingIntervalMs / CHECKS_PER_PING
+        eventLoop.schedule({ check(connection) }, intervalMs, TimeUnit.MILLISECONDS)
+    }
+
+    private fun check(connection: BackendConnection) {
+        connection.watched = false
+        if (!connection.isInUse) return
+        val quiet = connection.quietFor()
+        if (quiet >= settings.silentAfterMs.milliseconds) {
+            log.warn("backend: no byte from {} for {}, the connection is closed", address.id, quiet)
+            observer.connectionSilent()
+            connection.abort()
+            return
+        }
+        if (quiet >= settings.pingIntervalMs.milliseconds) connection.ping()
+        watch(connection)
+    }
+
+    private fun goAwayReceived(): Unit = onEventLoop { markLeaving() }
+
+    private fun markLeaving() {
+        if (leaving) return
+        leaving = true
+        log.info("backend: {} is leaving", address.id)
+        sink.offer(Input.BackendLeaving(address.id))
+    }
+
+    private fun ended(attempt: Attempt, reply: AggregatedHttpResponse?, cause: Throwable?) {
+        attempt.connection?.end()
+        attempt.renewal?.cancel(false)
+        when {
+            reply != null -> replied(attempt, reply)
+            isUnprocessed(cause) -> finish(attempt) { notStarted(it, NotStartedReason.NOT_DELIVERED, null) }
+            else -> query(attempt, FIRST_QUERY_DELAY)
+        }
+    }
+
+    private fun isUnprocessed(cause: Throwable?): Boolean =
+        cause != null && Exceptions.peel(cause) is UnprocessedRequestException
+
+    private fun replied(attempt: Attempt, reply: AggregatedHttpResponse) {
+        val usage = usageOf(reply)
+        val isLeaving = reply.headers().get(BACKEND_STATE) == LEAVING
+        if (isLeaving) markLeaving() else leaving = false
+        if (reply.headers().get(TASK_STARTED) == NO) {
+            val reason = if (isLeaving) NotStartedReason.LEAVING else NotStartedReason.BUSY
+            return finish(attempt) { notStarted(it, reason, usage) }
+        }
+        val message = messageOf(reply)
+        when (message?.state) {
+            ReportedState.DONE -> finish(attempt) { sink.offer(done(it, message, usage)) }
+            ReportedState.FAILED -> finish(attempt) { sink.offer(Input.TaskFailed(it, message.message, usage)) }
+            ReportedState.RUNNING -> query(attempt, FIRST_QUERY_DELAY)
+            null -> lost(attempt, "reply with status ${reply.status().code()} and no task state")
+        }
+    }
+
+    /** Asks for the state of a task whose reply is missing. Uses a new connection if the old one is closed. */
+    private fun query(attempt: Attempt, delay: Duration) {
+        if (attempts[attempt.start.task] !== attempt) return
+        if (attempt.remaining <= Duration.ZERO) return lost(attempt, "no reply within the lease")
+        observer.queried()
+        val request = RequestHeaders.of(HttpMethod.GET, taskPath(attempt.start.task))
+        client.execute(HttpRequest.of(request), responseTimeout(settings.silentAfterMs.milliseconds))
+            .aggregate()
+            .handle { reply, cause -> onEventLoop { queried(attempt, delay, reply, cause) } }
+    }
+
+    private fun queried(attempt: Attempt, delay: Duration, reply: AggregatedHttpResponse?, cause: Throwable?) {
+        val task = attempt.start.task
+        if (reply == null) return lost(attempt, "no reply, and no task state: ${Exceptions.peel(cause!!).message}")
+        if (reply.status() == HttpStatus.NOT_FOUND) return lost(attempt, "no reply, and the task is not known")
+        val message = messageOf(reply)
+        when (message?.state) {
+            ReportedState.DONE -> finish(attempt) { sink.offer(done(it, message, usageOf(reply))) }
+
+            ReportedState.FAILED -> finish(attempt) {
+                sink.offer(Input.TaskFailed(it, message.message, usageOf(reply)))
+            }
+
+            ReportedState.RUNNING -> queryLater(attempt, delay)
+
+            null -> lost(attempt, "state of task $task can't be read, status ${reply.status().code()}")
+        }
+    }
+
+    private fun queryLater(attempt: Attempt, delay: Duration) {
+        val nextDelay = minOf(delay * 2, MAX_QUERY_DELAY)
+        eventLoop.schedule({ query(attempt, nextDelay) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun done(task: TaskId, message: TaskMessage, usage: BackendUsage?): Input =
+        Input.TaskDone(task, message.output, message.runMs.milliseconds, usage)
+
+    private fun lost(attempt: Attempt, message: String): Unit =
+        finish(attempt) { sink.offer(Input.TaskLost(it, message)) }
+
+    /** The only place where an attempt ends, so that the engine gets one input for each start. */
+    private fun finish(attempt: Attempt, report: (TaskId) -> Unit) {
+        if (attempts.remove(attempt.start.task, attempt)) report(attempt.start.task)
+    }
+
+    private fun notStarted(task: TaskId, reason: NotStartedReason, usage: BackendUsage?) {
+        observer.notStarted(reason)
+        sink.offer(Input.TaskNotStarted(task, reason, usage))
+    }
+
+    private fun scheduleRenewal(attempt: Attempt) {
+        val delayMs = settings.leaseMs / RENEWALS_PER_LEASE
+        attempt.renewal = eventLoop.schedule({ renew(attempt) }, delayMs, TimeUnit.MILLISECONDS)
+    }
+
+    private fun renew(attempt: Attempt) {
+        val remaining = attempt.remaining
+        if (attempts[attempt.start.task] !== attempt || remaining <= Duration.ZERO) return
+        val body = backendJson.encodeToString(LeaseMessage(leaseMs(remaining)))
+        send(jsonRequest(HttpMethod.PUT, "${taskPath(attempt.start.task)}/lease", body))
+        scheduleRenewal(attempt)
+    }
+
+    private fun sendStop(task: TaskId) {
+        attempts[task]?.renewal?.cancel(false)
+        send(jsonRequest(HttpMethod.POST, "${taskPath(task)}/stop", "{}"))
+    }
+
+    private fun send(request: HttpRequest): HttpResponse =
+        client.execute(request, responseTimeout(settings.silentAfterMs.milliseconds)).also { it.aggregate() }
+
+    private fun leaseMs(remaining: Duration): Long =
+        remaining.inWholeMilliseconds.coerceIn(1, settings.leaseMs)
+
+    private fun messageOf(reply: AggregatedHttpResponse): TaskMessage? {
+        if (reply.status() != HttpStatus.OK) return null
+        return try {
+            backendJson.decodeFromString<TaskMessage>(reply.contentUtf8())
+        } catch (e: SerializationException) {
+            log.warn("backend: {} sent a reply that can't be read: {}", address.id, e.message)
+            null
+        }
+    }
+
+    private fun usageOf(reply: AggregatedHttpResponse): BackendUsage? {
+        val busySlots = reply.headers().getInt(BUSY_SLOTS) ?: return null
+        val slots = reply.headers().getInt(SLOTS) ?: return null
+        return BackendUsage(busySlots, slots)
+    }
+
+    private fun onEventLoop(action: () -> Unit) {
+        if (eventLoop.inEventLoop()) action() else eventLoop.execute(action)
+    }
+
+    private companion object {
+        val log = LogManager.getLogger(BackendLane::class.java)
+        const val BACKEND_STATE = "backend-state"
+        const val BUSY_SLOTS = "busy-slots"
+        const val SLOTS = "slots"
+        const val TASK_STARTED = "task-started"
+        const val LEAVING = "leaving"
+        const val NO = "no"
+
+        /** Time for the reply of a task that ends just within its lease. */
+        val REPLY_MARGIN = 500.milliseconds
+        val FIRST_QUERY_DELAY = 50.milliseconds
+        val MAX_QUERY_DELAY = 1_000.milliseconds
+        const val CHECKS_PER_PING = 2L
+
+        /** Two renewals may be lost before a lease expires. */
+        const val RENEWALS_PER_LEASE = 3L
+
+        fun taskPath(task: TaskId): String = "/v1/tasks/${URLEncoder.encode(task.toString(), Charsets.UTF_8)}"
+
+        fun jsonRequest(method: HttpMethod, path: String, body: String): HttpRequest {
+            val headers = RequestHeaders.builder(method, path).contentType(MediaType.JSON).build()
+            return HttpRequest.of(headers, HttpData.ofUtf8(body))
+        }
+
+        fun responseTimeout(timeout: Duration): RequestOptions =
+            RequestOptions.builder().responseTimeoutMillis(timeout.inWholeMilliseconds.coerceAtLeast(1)).build()
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/medlarroute/server/JobBody.kt
@@ -0,0 +1,146 @@
+package medlarroute.server
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.longOrNull
+import medlarroute.core.KindId
+import medlarroute.core.Refusal
+import medlarroute.core.RefusalCode
+import medlarroute.core.TaskSpec
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Limits on the body of a job. */
+internal data class JobLimits(
+    val maxTasks: Int,
+    val maxPayloadBytes: Int,
+    val defaultTimeout: Duration,
+    val maxTimeout: Duration,
+)
+
+/** The body of `POST /v1/jobs`. */
+internal data class JobBody(
+    val kind: KindId,
+    val timeout: Duration,
+    val idempotent: Boolean,
+    val tasks: List<TaskSpec>,
+) {
+    companion object {
+        /** Reads a body; all findings are collected with their place. */
+        fun parse(body: ByteArray, limits: JobLimits): Either<NonEmptyList<Refusal>, JobBody> {
+            val root = try {
+                Json.parseToJsonElement(body.decodeToString(throwOnInvalidSequence = true))
+            } catch (e: SerializationException) {
+                return malformed("body", "not JSON: ${e.message?.lineSequence()?.first()}")
+            } catch (_: CharacterCodingException) {
+                return malformed("body", "not UTF-8")
+            }
+            if (root !is JsonObject) return malformed("body", "must be an object")
+            return JobBodyReader(limits).read(root)
+        }
+
+        private fun malformed(place: String, message: String) =
+            NonEmptyList(Refusal(RefusalCode.MALFORMED, place, message), emptyList()).left()
+    }
+}
+
+/** Reads one body and collects what is wrong with it. */
+private class JobBodyReader(private val limits: JobLimits) {
+    private val findings = ArrayList<Refusal>()
+
+    fun read(root: JsonObject): Either<NonEmptyList<Refusal>, JobBody> {
+        (root.keys - FIELDS).forEach { note(it, "unknown field") }
+        val kind = text(root["kind"], "kind")
+        if (kind != null &&
+            kind.length !in 1..MAX_KIND_LENGTH
+        ) {
+            note("kind", "must have 1 to $MAX_KIND_LENGTH characters")
+        }
+        val timeout = timeout(root["deadlineMs"])
+        val idempotent = flag(root["idempotent"], "idempotent")
+        val tasks = tasks(root["tasks"])
+        return findings.toNonEmptyListOrNull()?.left()
+            ?: JobBody(KindId(kind.orEmpty()), timeout, idempotent, tasks).right()
+    }
+
+    private fun timeout(element: JsonElement?): Duration {
+        if (element == null) return limits.defaultTimeout
+        val timeoutMs = (element as? JsonPrimitive)?.takeUnless { it.isString }?.longOrNull
+        val maxMs = limits.maxTimeout.inWholeMilliseconds
+        if (timeoutMs == null || timeoutMs !in 1..maxMs) note("deadlineMs", "must be a whole number from 1 to $maxMs")
+        return (timeoutMs ?: 0).milliseconds
+    }
+
+    private fun flag(element: JsonElement?, place: String): Boolean {
+        if (element == null) return true
+        val value = (element as? JsonPrimitive)?.takeUnless { it.isString }?.booleanOrNull
+        if (value == null) note(place, "must be true or false")
+        return value ?: true
+    }
+
+    private fun tasks(element: JsonElement?): List<TaskSpec> {
+        val array = element as? JsonArray
+        if (array == null) {
+            note("tasks", if (element == null) "missing" else "must be a list")
+            return emptyList()
+        }
+        if (array.size !in 1..limits.maxTasks) {
+            note("tasks", "a job has 1 to ${limits.maxTasks} tasks, this one has ${array.size}")
+            return emptyList()
+        }
+        return array.mapIndexed { index, task -> task(task, "tasks[$index]") }
+    }
+
+    private fun task(element: JsonElement, place: String): TaskSpec {
+        if (element !is JsonObject) {
+            note(place, "must be an object")
+            return TaskSpec("")
+        }
+        (element.keys - TASK_FIELDS).forEach { note("$place.$it", "unknown field") }
+        val payload = text(element["payload"], "$place.payload").orEmpty()
+        val sizeBytes = payload.encodeToByteArray().size
+        if (sizeBytes > limits.maxPayloadBytes) {
+            note("$place.payload", "has $sizeBytes bytes, ${limits.maxPayloadBytes} are allowed", RefusalCode.TOO_LARGE)
+        }
+        return TaskSpec(payload, declared(element["declaredMs"], "$place.declaredMs"))
+    }
+
+    private fun declared(element: JsonElement?, place: String): Duration? {
+        if (element == null) return null
+        val declaredMs = (element as? JsonPrimitive)?.takeUnless { it.isString }?.longOrNull
+        if (declaredMs == null || declaredMs !in 0..MAX_DECLARED_MS) {
+            note(place, "must be a whole number from 0 to $MAX_DECLARED_MS")
+        }
+        return declaredMs?.milliseconds
+    }
+
+    private fun text(element: JsonElement?, place: String): String? {
+        if (element is JsonPrimitive && element.isString) return element.content
+        note(place, if (element == null) "missing" else "must be a string")
+        return null
+    }
+
+    private fun note(place: String, message: String, code: RefusalCode = RefusalCode.MALFORMED) {
+        if (findings.size < MAX_FINDINGS) findings += Refusal(code, place, message)
+    }
+
+    private companion object {
+        val FIELDS = setOf("kind", "deadlineMs", "idempotent", "tasks")
+        val TASK_FIELDS = setOf("payload", "declaredMs")
+        const val MAX_KIND_LENGTH = 128
+        const val MAX_DECLARED_MS = 86_400_000L
+
+        /** Bounds the reply to a large malformed body. */
+        const val MAX_FINDINGS = 50
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -0,0 +1,199 @@
+package medlarroute.server
+
+import arrow.core.getOrElse
+import com.dynatrace.hash4j.hashing.Hashing
+import medlarroute.core.Answer
+import medlarroute.core.FailureCode
+import medlarroute.core.Input
+import medlarroute.core.Job
+import medlarroute.core.Lookup
+import medlarroute.core.Refusal
+import medlarroute.core.RefusalCode
+import medlarroute.core.SubmissionId
+import medlarroute.core.SubmissionRegistry
+import medlarroute.core.SuccessorRecords
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Handles submissions whose home is this instance, and replays those of homes that handed over their records.
+ *
+ * Each request is answered at the latest by its own timeout plus [ANSWER_GRACE], even if the engine never answers.
+ * Thread-safe.
+ */
+internal class JobService(
+    private val home: SubmissionRegistry.Home,
+    private val registry: SubmissionRegistry,
+    private val successors: SuccessorRecords,
+    private val loop: JobSink,
+    private val limits: JobLimits,
+    private val observer: JobObserver = JobObserver.None,
+) : HomeHandler {
+    /** Where new jobs and cancellations go. Thread-safe and non-blocking. */
+    interface JobSink {
+        /** False if the job was not taken and never will be. */
+        fun submit(job: Job): Boolean
+
+        fun offer(input: Input)
+    }
+
+    /** A submission that has begun and whose answer is not known. */
+    private class Pending {
+        val answer = CompletableFuture<Answer>()
+
+        /** Completed once the engine was given the job; a cancellation must not overtake it. */
+        val submitted = CompletableFuture<Unit>()
+    }
+
+    private val pending = ConcurrentHashMap<SubmissionId, Pending>()
+
+    @Volatile
+    private var draining = false
+
+    /** Submissions that have begun and have no answer yet. */
+    val openSubmissions: Int get() = pending.size
+
+    /** Refuses new submissions as not run from now on. */
+    fun drain() {
+        draining = true
+        registry.seal()
+    }
+
+    override fun handle(request: CallerRequest): CompletableFuture<CallerReply> {
+        if (!isHomeOf(request.submission)) return CompletableFuture.completedFuture(replay(request))
+        return when (request.operation) {
+            Operation.SUBMIT -> submit(request)
+            Operation.STATUS -> CompletableFuture.completedFuture(status(request))
+            Operation.CANCEL -> cancel(request)
+        }
+    }
+
+    /** Records [answer] and hands it to everyone who waits for it. */
+    fun answered(submission: SubmissionId, answer: Answer) {
+        registry.end(submission, answer)
+        pending.remove(submission)?.answer?.complete(answer)
+    }
+
+    private fun isHomeOf(submission: SubmissionId): Boolean {
+        val ticket = submission.ticket
+        return ticket.instance == home.instance && ticket.incarnation == home.incarnation
+    }
+
+    private fun replay(request: CallerRequest): CallerReply {
+        val submission = request.submission
+        val digest = if (request.operation == Operation.SUBMIT) digestOf(request.body) else null
+        return when (val lookup = successors.lookup(submission, request.caller, digest)) {
+            null -> ReplyJson.failure(submission, FailureCode.HOME_LOST, "the home of the ticket has ended")
+            is Lookup.Closed -> if (digest == null) ReplyJson.unknown(submission) else settled(submission, lookup)
+            else -> settled(submission, lookup)
+        }
+    }
+
+    private fun submit(request: CallerRequest): CompletableFuture<CallerReply> {
+        val submission = request.submission
+        return when (val lookup = registry.begin(submission, request.caller, digestOf(request.body))) {
+            Lookup.New -> begin(request)
+            Lookup.Running -> await(submission, attach(request), request.timeout)
+            else -> CompletableFuture.completedFuture(settled(submission, lookup))
+        }
+    }
+
+    private fun begin(request: CallerRequest): CompletableFuture<CallerReply> {
+        val submission = request.submission
+        val entry = pending.computeIfAbsent(submission) { Pending() }
+        val body = JobBody.parse(request.body, limits).getOrElse { findings ->
+            answered(submission, Answer.Refused(findings))
+            return await(submission, entry.answer, request.timeout)
+        }
+        val job = body.toJob(request)
+        observer.submitted(job)
+        if (!loop.submit(job)) answered(submission, INBOX_FULL)
+        entry.submitted.complete(Unit)
+        return await(submission, entry.answer, job.timeout)
+    }
+
+    private fun JobBody.toJob(request: CallerRequest): Job {
+        val timeout = minOf(timeout, request.timeout)
+        return Job(request.submission, request.caller, kind, timeout, tasks, idempotent)
+    }
+
+    private fun attach(request: CallerRequest): CompletableFuture<Answer> = attach(request.submission, request).answer
+
+    /** The job may end between the look-up and the attachment, so the registry is asked again afterwards. */
+    private fun attach(submission: SubmissionId, request: CallerRequest): Pending {
+        val entry = pending.computeIfAbsent(submission) { Pending() }
+        val lookup = registry.peek(submission, request.caller)
+        if (lookup == Lookup.Running) return entry
+        pending.remove(submission, entry)
+        entry.answer.complete(answerOf(lookup))
+        return entry
+    }
+
+    private fun answerOf(lookup: Lookup?): Answer =
+        if (lookup is Lookup.Answered) {
+            lookup.answer
+        } else {
+            Answer.Failed(FailureCode.ANSWER_EXPIRED, "the answer is no longer kept")
+        }
+
+    private fun await(
+        submission: SubmissionId,
+        answer: CompletableFuture<Answer>,
+        timeout: Duration,
+    ): CompletableFuture<CallerReply> {
+        val late = ReplyJson.failure(submission, FailureCode.DEADLINE, "no answer was known at the deadline")
+        return answer
+            .thenApply { ReplyJson.answer(submission, it) }
+            .completeOnTimeout(late, (timeout + ANSWER_GRACE).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun status(request: CallerRequest): CallerReply =
+        when (val lookup = registry.peek(request.submission, request.caller)) {
+            null -> ReplyJson.unknown(request.submission)
+            else -> settled(request.submission, lookup)
+        }
+
+    private fun cancel(request: CallerRequest): CompletableFuture<CallerReply> {
+        val submission = request.submission
+        if (registry.peek(submission, request.caller) != Lookup.Running) {
+            return CompletableFuture.completedFuture(status(request))
+        }
+        val entry = attach(submission, request)
+        entry.submitted.thenRun { loop.offer(Input.Cancel(submission)) }
+        return await(submission, entry.answer, request.timeout)
+    }
+
+    private fun settled(submission: SubmissionId, lookup: Lookup): CallerReply =
+        when (lookup) {
+            Lookup.New, Lookup.Running -> ReplyJson.running(submission)
+
+            is Lookup.Answered -> ReplyJson.answer(submission, lookup.answer)
+
+            Lookup.Expired ->
+                ReplyJson.failure(submission, FailureCode.ANSWER_EXPIRED, "handled before; the answer is not kept")
+
+            Lookup.DigestMismatch ->
+                ReplyJson.refusal(null, RefusalCode.DIGEST_MISMATCH, "Submission-Id", "used before with another body")
+
+            is Lookup.Closed -> ReplyJson.refusal(submission, closedCode(), "Submission-Id", lookup.reason)
+
+            Lookup.UnknownTicket ->
+                ReplyJson.refusal(submission, RefusalCode.UNKNOWN_TICKET, "Submission-Id", "the ticket is not known")
+        }
+
+    private fun closedCode() = if (draining) RefusalCode.DRAINING else RefusalCode.TICKET_CLOSED
+
+    private fun digestOf(body: ByteArray): Long = Hashing.komihash5_0().hashBytesToLong(body)
+
+    private companion object {
+        /** Lets the engine answer first: its answer at the deadline tells more than the one given here. */
+        val ANSWER_GRACE = 100.milliseconds
+        val INBOX_FULL = Answer.Refused(
+            listOf(Refusal(RefusalCode.OVERLOAD, "job", "too many requests wait for a decision")),
+            retryAfter = 100.milliseconds,
+        )
+    }
+}
