Test the client for backend servers against faults of HTTP/2 peers, and the engine loop

A peer that misbehaves at the level of frames shows each case: only refused connections, REFUSED_STREAM, GOAWAY with a lower last stream and Task-Started: no are reported as not started. The shutdown of the client's threads no longer waits for the quiet period of 2 s. Lincheck checks the engine's inbox with three threads.

--- a/server/src/main/kotlin/medlarroute/server/BackendClient.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendClient.kt
@@ -10,6 +10,7 @@
 import medlarroute.core.Input
 import medlarroute.core.NotStartedReason
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /**
@@ -27,8 +28,9 @@
     private val elapsed: () -> Duration,
     private val observer: BackendObserver = BackendObserver.None,
 ) : AutoCloseable {
+    private val threads = EventLoopGroups.newEventLoopGroup(settings.threads, "backend")
     private val factory = ClientFactory.builder()
-        .workerGroup(EventLoopGroups.newEventLoopGroup(settings.threads, "backend"), true)
+        .workerGroup(threads, false)
         .maxNumEventLoopsPerEndpoint(1)
         .connectTimeoutMillis(settings.connectTimeoutMs)
         .idleTimeoutMillis(0)
@@ -48,7 +50,10 @@
         lanes[stop.backend]?.stop(stop.task)
     }
 
-    override fun close(): Unit = factory.close()
+    override fun close() {
+        factory.close()
+        threads.shutdownGracefully(0, SHUTDOWN_LIMIT_MS, TimeUnit.MILLISECONDS)
+    }
 
     private fun laneOf(id: BackendId): BackendLane? {
         val address = addresses.addressOf(id) ?: return lanes[id]
@@ -61,4 +66,8 @@
         val eventLoop = factory.acquireEventLoop(SessionProtocol.H2C, endpoint, endpoint).get()
         return BackendLane(address, factory, eventLoop, settings, sink, elapsed, observer)
     }
+
+    private companion object {
+        const val SHUTDOWN_LIMIT_MS = 1_000L
+    }
 }
--- /dev/null
+++ b/server/src/test/kotlin/medlarroute/server/BackendClientTest.kt
@@ -0,0 +1,232 @@
+package medlarroute.server
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.netty.handler.codec.http2.Http2Error
+import medlarroute.core.BackendId
+import medlarroute.core.BackendSettings
+import medlarroute.core.BackendUsage
+import medlarroute.core.Effect
+import medlarroute.core.FailureDomainId
+import medlarroute.core.Incarnation
+import medlarroute.core.Input
+import medlarroute.core.InstanceId
+import medlarroute.core.KindId
+import medlarroute.core.NotStartedReason
+import medlarroute.core.SubmissionId
+import medlarroute.core.TaskId
+import medlarroute.core.TicketId
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class BackendClientTest {
+    private val backendId = BackendId("b1")
+    private val submission =
+        SubmissionId(TicketId(FailureDomainId("local"), InstanceId("e1"), Incarnation(1), 1), 1)
+    private val inputs = LinkedBlockingQueue<Input>()
+    private val open = ArrayList<AutoCloseable>()
+    private val settings = BackendSettings(pingIntervalMs = 40, silentAfterMs = 200, leaseMs = 90)
+
+    @AfterEach
+    fun close() = open.reversed().forEach { it.close() }
+
+    private fun <T : AutoCloseable> T.opened(): T = also { open += it }
+
+    private fun client(address: BackendAddress?, elapsed: Duration = Duration.ZERO) =
+        BackendClient(settings, { address }, inputs::add, { elapsed }).opened()
+
+    private fun client(backend: FakeBackend) = client(backend.opened().address)
+
+    private fun start(index: Int = 0, lease: Duration = 80.milliseconds) =
+        Effect.Start(
+            TaskId(submission, index),
+            backendId,
+            KindId("check"),
+            "in",
+            idempotent = false,
+            lease = lease,
+            decidedAt = Duration.ZERO,
+        )
+
+    private fun nextInput(): Input = checkNotNull(inputs.poll(20, TimeUnit.SECONDS)) { "the start did not end" }
+
+    private fun ServerSocket.unusedPort(): Int = use { it.localPort }
+
+    /** Guards against outputs, run times or usage that are lost on the way to the engine. */
+    @Test
+    fun `a done task is reported with its output, run time and usage`() {
+        val reply = FakeBackend.task(
+            """{"state":"done","output":"out","runMs":7}""",
+            "Busy-Slots" to "3",
+            "Slots" to "8",
+        )
+        client(FakeBackend(onStart = { FakeBackend.now(reply) })).start(start())
+        nextInput() shouldBe Input.TaskDone(start().task, "out", 7.milliseconds, BackendUsage(3, 8))
+    }
+
+    /** Guards against an error of the task that is taken for a lost task. */
+    @Test
+    fun `a failed task is reported with its message`() {
+        val reply = FakeBackend.task("""{"state":"failed","message":"no disk"}""")
+        client(FakeBackend(onStart = { FakeBackend.now(reply) })).start(start())
+        nextInput() shouldBe Input.TaskFailed(start().task, "no disk", null)
+    }
+
+    /** Guards against a busy backend server that costs the job its answer. */
+    @Test
+    fun `a busy reply proves that the task did not start`() {
+        val reply = FakeBackend.notStarted("Busy-Slots" to "8", "Slots" to "8")
+        client(FakeBackend(onStart = { FakeBackend.now(reply) })).start(start())
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.BUSY, BackendUsage(8, 8))
+    }
+
+    /** Guards against more work for a backend server that said it is leaving. */
+    @Test
+    fun `a leaving backend server is reported before the task that it did not start`() {
+        val reply = FakeBackend.notStarted("Backend-State" to "leaving")
+        client(FakeBackend(onStart = { FakeBackend.now(reply) })).start(start())
+        nextInput() shouldBe Input.BackendLeaving(backendId)
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.LEAVING, null)
+    }
+
+    /** Guards against a second start after an error that proves nothing. */
+    @Test
+    fun `an error without proof loses the task`() {
+        val reply = HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE)
+        client(FakeBackend(onStart = { FakeBackend.now(reply) })).start(start())
+        nextInput().shouldBeInstanceOf<Input.TaskLost>().message shouldContain "503"
+    }
+
+    /** Guards against a reply that can't be read being taken for an empty output. */
+    @Test
+    fun `a reply that is not JSON loses the task`() {
+        client(FakeBackend(onStart = { FakeBackend.now(FakeBackend.task("<html>")) })).start(start())
+        nextInput().shouldBeInstanceOf<Input.TaskLost>()
+    }
+
+    /** Guards against a failed job where the backend server was never reached. */
+    @Test
+    fun `a refused connection and an unknown address prove that the task did not start`() {
+        val port = ServerSocket(0).unusedPort()
+        client(BackendAddress(backendId, "127.0.0.1", port)).start(start())
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
+        client(address = null).start(start())
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
+    }
+
+    /** Guards against a start that is sent by a process that was paused after the decision. */
+    @Test
+    fun `a start whose decision is too old is not sent`() {
+        val backend = FakeBackend().opened()
+        client(backend.address, elapsed = 501.milliseconds).start(start())
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.STALE, null)
+        backend.starts.poll().shouldBeNull()
+    }
+
+    /** Guards against a failed job where HTTP/2 proves that the stream was not processed. */
+    @Test
+    fun `a refused stream proves that the task did not start`() {
+        client(RawBackend { it.reset(Http2Error.REFUSED_STREAM) }.opened().address).start(start())
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
+    }
+
+    /** Guards against a task sent in the moment when the backend server leaves being counted as run. */
+    @Test
+    fun `a connection that ends before the stream proves that the task did not start and reports the leaving`() {
+        client(RawBackend { it.goAway(lastStreamId = 0) }.opened().address).start(start())
+        setOf(nextInput(), nextInput()) shouldBe setOf(
+            Input.BackendLeaving(backendId),
+            Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null),
+        )
+    }
+
+    /** Guards against a second start of a task whose stream was reset after it may have begun. */
+    @Test
+    fun `a stream reset for another reason loses the task`() {
+        val backend = RawBackend { if (it.path == "/v1/tasks") it.reset(Http2Error.CANCEL) else it.close() }
+        client(backend.opened().address).start(start())
+        nextInput().shouldBeInstanceOf<Input.TaskLost>()
+    }
+
+    /** Guards against a second start of a task whose connection was closed after it may have begun. */
+    @Test
+    fun `a closed connection loses the task if its state is not known`() {
+        val backend = RawBackend { if (it.path == "/v1/tasks") it.close() else it.reset(Http2Error.REFUSED_STREAM) }
+        client(backend.opened().address).start(start())
+        nextInput().shouldBeInstanceOf<Input.TaskLost>()
+    }
+
+    /** Guards against a lost answer where only the connection went silent: the backend server knows the task. */
+    @Test
+    fun `the state of a task is fetched over a new connection when the old one is silent`() {
+        val backend = RawBackend(acknowledgesPings = { it > 1 }) { request ->
+            if (request.connection > 1) request.reply("""{"state":"done","output":"late","runMs":5}""")
+        }
+        client(backend.opened().address).start(start(lease = 20.seconds))
+        nextInput() shouldBe Input.TaskDone(start().task, "late", 5.milliseconds, null)
+        backend.connectionCount shouldBe 2
+    }
+
+    /** Guards against a long task that is given up although its connection is alive. */
+    @Test
+    fun `a quiet connection that answers pings is kept`() {
+        val pings = AtomicInteger()
+        var waiting: RawBackend.Request? = null
+        val backend = RawBackend(
+            onPing = { if (pings.incrementAndGet() == 20) waiting!!.reply("""{"state":"done","output":"long"}""") },
+        ) { if (it.path == "/v1/tasks") waiting = it }
+        client(backend.opened().address).start(start(lease = 20.seconds))
+        nextInput() shouldBe Input.TaskDone(start().task, "long", Duration.ZERO, null)
+        backend.connectionCount shouldBe 1
+    }
+
+    /** Guards against a lease that expires under a running task. */
+    @Test
+    fun `the lease of a long task is renewed until it ends`() {
+        val reply = CompletableFuture<HttpResponse>()
+        val backend = FakeBackend(onStart = { reply }).opened()
+        client(backend.address).start(start(lease = 20.seconds))
+        backend.starts.take().leaseMs shouldBe 90
+        repeat(3) {
+            backend.calls.take() shouldBe
+                FakeBackend.Call("lease", start().task.toString(), """{"leaseMs":90}""")
+        }
+        reply.complete(FakeBackend.done("out"))
+        nextInput().shouldBeInstanceOf<Input.TaskDone>()
+    }
+
+    /** Guards against a slot that stays busy with a task nobody waits for. */
+    @Test
+    fun `a stop reaches the backend server that runs the task`() {
+        val backend = FakeBackend(onStart = { CompletableFuture() }).opened()
+        val client = client(backend.address)
+        client.start(start())
+        backend.starts.take()
+        client.stop(Effect.Stop(start().task, backendId))
+        backend.calls.take() shouldBe FakeBackend.Call("stop", start().task.toString(), "{}")
+    }
+
+    /** Guards against many connections: a backend server accepts 64 over all entry instances. */
+    @Test
+    fun `tasks that run at the same time share one connection`() {
+        val requests = LinkedBlockingQueue<RawBackend.Request>()
+        val backend = RawBackend { requests += it }.opened()
+        val client = client(backend.address)
+        repeat(50) { client.start(start(index = it, lease = 20.milliseconds)) }
+        repeat(50) { requests.take().reply("""{"state":"done","output":"out"}""") }
+        repeat(50) { nextInput().shouldBeInstanceOf<Input.TaskDone>() }
+        backend.connectionCount shouldBe 1
+    }
+}
--- a/server/src/test/kotlin/medlarroute/server/FakeBackend.kt
+++ b/server/src/test/kotlin/medlarroute/server/FakeBackend.kt
@@ -1,6 +1,7 @@
 package medlarroute.server
 
 import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
@@ -55,7 +56,10 @@
         return HttpResponse.of(HttpStatus.OK)
     }
 
-    override fun close(): Unit = server.close()
+    /** Does not wait: the server's threads end after a quiet period of 2 s. */
+    override fun close() {
+        server.closeAsync()
+    }
 
     companion object {
         fun <T> now(value: T): CompletableFuture<T> = CompletableFuture.completedFuture(value)
@@ -74,7 +78,7 @@
         private fun reply(status: HttpStatus, json: String, vararg headers: Pair<String, String>): HttpResponse {
             val head = ResponseHeaders.builder(status).contentType(MediaType.JSON)
             headers.forEach { (name, value) -> head.add(name, value) }
-            return HttpResponse.of(head.build(), com.linecorp.armeria.common.HttpData.ofUtf8(json))
+            return HttpResponse.of(head.build(), HttpData.ofUtf8(json))
         }
     }
 }
--- /dev/null
+++ b/server/src/test/kotlin/medlarroute/server/InboxTest.kt
@@ -0,0 +1,55 @@
+package medlarroute.server
+
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions
+import org.jetbrains.lincheck.datastructures.Operation
+import org.junit.jupiter.api.Test
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+class InboxTest {
+    /** Operations that producers and the consumer run at the same time. */
+    class Operations {
+        private val inbox = Inbox<Int>(capacity = 2)
+
+        @Operation
+        fun put(item: Int) = inbox.put(item)
+
+        @Operation
+        fun tryPut(item: Int) = inbox.tryPut(item)
+
+        @Operation(nonParallelGroup = "consumer")
+        fun poll() = inbox.poll()
+
+        @Operation
+        fun size() = inbox.size
+    }
+
+    /** Guards against an input that is lost, doubled or taken out of order when threads meet. */
+    @Test
+    fun `concurrent producers and the consumer behave as if they ran one after the other`() {
+        ModelCheckingOptions()
+            .iterations(10)
+            .invocationsPerIteration(200)
+            .threads(3)
+            .actorsPerThread(2)
+            .check(Operations::class.java)
+    }
+
+    /** Guards against a consumer that sleeps on although an item has arrived. */
+    @Test
+    fun `a waiting consumer is woken by an item`() {
+        val inbox = Inbox<String>(capacity = 1)
+        val taken = CompletableFuture.supplyAsync { inbox.take(timeout = null) }
+        inbox.put("item")
+        taken.get(10, TimeUnit.SECONDS) shouldBe listOf("item")
+    }
+
+    /** Guards against a consumer that never ticks the engine when no input comes. */
+    @Test
+    fun `a consumer returns without items at its timeout`() {
+        Inbox<String>(capacity = 1).take(Duration.ZERO).shouldBeEmpty()
+    }
+}
