Complete the front: answers by the deadline, TLS, operators' port, metrics, graceful drain

The thin path had no limits, no operators' port and no way to stop. A property test of the body parser found that 50,000 nested brackets overflow the stack of the JSON parser; bodies with more than 16 levels are now refused before parsing. Peers and platform plug in through Extension.

--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -43,6 +43,21 @@
     public val tokensFile: String = "",
     public val maxBodyBytes: Long = 8_388_608,
     public val maxPayloadBytes: Int = 65_536,
+    public val tls: TlsSettings = TlsSettings(),
+)
+
+/**
+ * TLS on the port for callers; off if nothing is set. Either both PEM files or both key store files are set.
+ *
+ * @property keyStoreFile key store in JKS or PKCS #12 format.
+ * @property keyStorePasswordFile file that holds the password of the key store and of its key.
+ */
+@Serializable
+public data class TlsSettings(
+    public val certificateFile: String = "",
+    public val privateKeyFile: String = "",
+    public val keyStoreFile: String = "",
+    public val keyStorePasswordFile: String = "",
 )
 
 /** Port for operators. */
@@ -100,8 +115,16 @@
     public val threads: Int = 2,
 )
 
-/** How a stopping instance ends. [limitMs] is at least the longest timeout of a job, so that no request is cut. */
+/**
+ * How a stopping instance ends.
+ *
+ * @property limitMs time for running jobs and open requests to end; at least the longest timeout of a job, so that no
+ *   request is cut.
+ * @property settleMs time for which requests are still taken after the readiness check fails, so that the load balancer
+ *   can notice.
+ */
 @Serializable
 public data class DrainSettings(
     public val limitMs: Long = 65_000,
+    public val settleMs: Long = 1_000,
 )
--- a/server/src/main/kotlin/medlarroute/server/CallerApi.kt
+++ b/server/src/main/kotlin/medlarroute/server/CallerApi.kt
@@ -12,13 +12,16 @@
 import com.linecorp.armeria.server.ServerBuilder
 import com.linecorp.armeria.server.ServiceRequestContext
 import medlarroute.core.CallerId
+import medlarroute.core.FailureCode
 import medlarroute.core.RefusalCode
 import medlarroute.core.RegistrySettings
 import medlarroute.core.SubmissionId
 import medlarroute.core.SubmissionRegistry
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * The HTTP API for callers.
@@ -28,7 +31,7 @@
  */
 internal class CallerApi(
     private val registrySettings: RegistrySettings,
-    private val maxTimeout: Duration,
+    private val limits: JobLimits,
     private val authentication: CallerAuthentication,
     private val registry: SubmissionRegistry,
     private val isHandledHere: (SubmissionId) -> Boolean,
@@ -39,7 +42,7 @@
     /** Adds the routes of the API to [server]. */
     fun addTo(server: ServerBuilder) {
         server.route().post("/v1/tickets").build(authenticated { _, _, caller -> done(openTicket(caller)) })
-        server.route().post("/v1/jobs").build(authenticated { _, request, caller -> submit(request, caller) })
+        server.route().post("/v1/jobs").build(authenticated(::submit))
         server.route().get(JOB_PATH).build(
             authenticated { context, _, caller ->
                 ask(Operation.STATUS, context, caller)
@@ -54,7 +57,7 @@
     ) = HttpService { context, request ->
         val caller = authentication.callerOf(request.headers())
         val reply = if (caller == null) done(UNAUTHENTICATED) else handle(context, request, caller)
-        HttpResponse.of(reply.thenApply(::toHttp))
+        HttpResponse.of(reply.exceptionally(::failed).thenApply(::toHttp))
     }
 
     private fun openTicket(caller: CallerId): CallerReply {
@@ -63,10 +66,26 @@
         return ReplyJson.ticket(ticket, registrySettings.retentionMs, registrySettings.windowSequences)
     }
 
-    private fun submit(request: HttpRequest, caller: CallerId): CompletableFuture<CallerReply> =
+    private fun submit(
+        context: ServiceRequestContext,
+        request: HttpRequest,
+        caller: CallerId,
+    ): CompletableFuture<CallerReply> =
         request.aggregate()
-            .thenCompose { submit(it, caller) }
-            .exceptionally(::unreadable)
+            .handle { read, cause -> if (read == null) done(unreadable(cause)) else submit(context, read, caller) }
+            .thenCompose { it }
+
+    /** Large bodies are parsed off the event loop, which serves other callers as well. */
+    private fun submit(
+        context: ServiceRequestContext,
+        request: AggregatedHttpRequest,
+        caller: CallerId,
+    ): CompletableFuture<CallerReply> {
+        if (request.content().length() < LARGE_BODY_BYTES) return submit(request, caller)
+        return CompletableFuture
+            .supplyAsync({ submit(request, caller) }, context.blockingTaskExecutor())
+            .thenCompose { it }
+    }
 
     private fun submit(request: AggregatedHttpRequest, caller: CallerId): CompletableFuture<CallerReply> {
         val body = request.content().array()
@@ -75,12 +94,13 @@
         if ((text == null) == (key == null)) return done(WRONG_HEADERS)
         if (key != null) return submitKeyed(key, caller, body)
         val submission = SubmissionId.parseOrNull(text.orEmpty()) ?: return done(WRONG_SUBMISSION)
-        return route(CallerRequest(Operation.SUBMIT, submission, caller, body, maxTimeout))
+        return route(CallerRequest(Operation.SUBMIT, submission, caller, body, limits.maxTimeout))
     }
 
     private fun submitKeyed(key: String, caller: CallerId, body: ByteArray): CompletableFuture<CallerReply> {
         if (key.length !in 1..MAX_KEY_LENGTH) return done(WRONG_KEY)
-        return claims.handle(KeyedRequest(key, caller, body, maxTimeout))
+        val timeout = JobBody.timeoutOf(body, limits)
+        return claims.handle(KeyedRequest(key, caller, body, timeout)).answeredWithin(timeout, null)
     }
 
     private fun ask(
@@ -90,15 +110,34 @@
     ): CompletableFuture<CallerReply> {
         val text = "${context.pathParam("ticket")}/${context.pathParam("sequence")}"
         val submission = SubmissionId.parseOrNull(text) ?: return done(WRONG_SUBMISSION)
-        return route(CallerRequest(operation, submission, caller, ByteArray(0), maxTimeout))
+        return route(CallerRequest(operation, submission, caller, ByteArray(0), limits.maxTimeout))
     }
 
-    private fun route(request: CallerRequest): CompletableFuture<CallerReply> =
-        if (isHandledHere(request.submission)) home.handle(request) else forwarder.forward(request)
+    private fun route(request: CallerRequest): CompletableFuture<CallerReply> {
+        if (isHandledHere(request.submission)) return home.handle(request)
+        val timeout =
+            if (request.operation == Operation.SUBMIT) JobBody.timeoutOf(request.body, limits) else request.timeout
+        val forwarded =
+            CallerRequest(request.operation, request.submission, request.caller, request.body, timeout)
+        return forwarder.forward(forwarded).answeredWithin(timeout, request.submission)
+    }
+
+    private fun CompletableFuture<CallerReply>.answeredWithin(
+        timeout: Duration,
+        submission: SubmissionId?,
+    ): CompletableFuture<CallerReply> {
+        val late = ReplyJson.failure(submission, FailureCode.DEADLINE, "no answer was known at the deadline")
+        return completeOnTimeout(late, (timeout + ANSWER_GRACE).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun failed(cause: Throwable): CallerReply {
+        log.error("http: a request could not be handled", cause)
+        return INTERNAL_ERROR
+    }
 
     private fun unreadable(cause: Throwable): CallerReply {
         if (Exceptions.peel(cause) is ContentTooLargeException) return BODY_TOO_LARGE
-        log.warn("http: a request could not be handled", cause)
+        log.info("http: a body did not arrive in full: {}", Exceptions.peel(cause).toString())
         return UNREADABLE
     }
 
@@ -109,6 +148,10 @@
         val log = LogManager.getLogger(CallerApi::class.java)
         const val JOB_PATH = "/v1/jobs/{ticket}/{sequence}"
         const val MAX_KEY_LENGTH = 255
+        const val LARGE_BODY_BYTES = 65_536
+
+        /** Lets the home answer first: its answer at the deadline tells more than the one given here. */
+        val ANSWER_GRACE = 200.milliseconds
 
         val UNAUTHENTICATED =
             ReplyJson.refusal(null, RefusalCode.NOT_AUTHENTICATED, "Authorization", "the caller is not known")
@@ -116,6 +159,7 @@
         val WRONG_SUBMISSION = malformed("Submission-Id", "must be <ticket>/<sequence>")
         val WRONG_KEY = malformed("Idempotency-Key", "must have 1 to $MAX_KEY_LENGTH characters")
         val UNREADABLE = malformed("body", "the body did not arrive in full")
+        val INTERNAL_ERROR = ReplyJson.failure(null, FailureCode.HOME_LOST, "internal error, see the log")
         val BODY_TOO_LARGE = ReplyJson.refusal(null, RefusalCode.TOO_LARGE, "body", "the body is too large")
 
         fun malformed(place: String, message: String): CallerReply =
--- a/server/src/main/kotlin/medlarroute/server/EngineLoop.kt
+++ b/server/src/main/kotlin/medlarroute/server/EngineLoop.kt
@@ -40,6 +40,9 @@
     /** Inputs that wait for the next tick. */
     val inboxDepth: Int get() = inbox.size
 
+    /** Whether the thread runs; without it nothing is decided. */
+    val isAlive: Boolean get() = loop.isAlive
+
     /** Time base of [Effect.Start.decidedAt]. */
     fun elapsed(): Duration = engine.elapsed()
 
--- /dev/null
+++ b/server/src/main/kotlin/medlarroute/server/Extension.kt
@@ -0,0 +1,80 @@
+package medlarroute.server
+
+import com.linecorp.armeria.server.HttpService
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.serialization.json.JsonObject
+import medlarroute.core.FailureCode
+import medlarroute.core.RegistryExport
+import medlarroute.core.Settings
+import medlarroute.core.SubmissionRegistry
+import medlarroute.core.SuccessorRecords
+import java.util.concurrent.CompletableFuture
+
+/** What an entry instance shares with its [Extension]. */
+internal class InstanceParts(
+    val settings: Settings,
+    val identity: SubmissionRegistry.Home,
+    val engine: InputSink,
+    val registry: SubmissionRegistry,
+    val successors: SuccessorRecords,
+    val home: HomeHandler,
+    val meters: MeterRegistry,
+)
+
+/**
+ * The part of an entry instance that connects it to its peers and the platform.
+ *
+ * Life: [start] once, [drainBegun] when new jobs are refused, [handOver] when all jobs have ended, [stop] last. After
+ * [handOver] the instance still serves requests of callers for a short time.
+ */
+internal interface Extension {
+    val forwarder: RequestForwarder
+    val claims: ClaimHandler
+
+    /** Addresses of backend servers that the embedding code did not supply. */
+    val addresses: BackendAddresses
+
+    /** Services on the operators' port, by path pattern. */
+    val operatorServices: Map<String, HttpService>
+
+    /** Called before callers are served. */
+    fun start()
+
+    /** Why the instance can't serve callers yet; empty if it can. */
+    fun obstacles(): List<String>
+
+    /** Part of `/v1/status`. */
+    fun status(): JsonObject
+
+    fun drainBegun()
+
+    /** Sends the records to a successor; completes with whether one has them. Never completes exceptionally. */
+    fun handOver(records: RegistryExport): CompletableFuture<Boolean>
+
+    /** Ends everything; requests in flight from and to peers end first. */
+    fun stop()
+}
+
+/** An instance without peers and platform. */
+internal class Standalone : Extension {
+    override val forwarder = RequestForwarder {
+        val detail = "the home of the ticket is not this instance, and this instance has no peers"
+        CompletableFuture.completedFuture(ReplyJson.failure(it.submission, FailureCode.HOME_LOST, detail))
+    }
+    override val claims = ClaimHandler.Unavailable
+    override val addresses = BackendAddresses { null }
+    override val operatorServices = emptyMap<String, HttpService>()
+
+    override fun start(): Unit = Unit
+
+    override fun obstacles(): List<String> = emptyList()
+
+    override fun status(): JsonObject = JsonObject(emptyMap())
+
+    override fun drainBegun(): Unit = Unit
+
+    override fun handOver(records: RegistryExport): CompletableFuture<Boolean> =
+        CompletableFuture.completedFuture(false)
+
+    override fun stop(): Unit = Unit
+}
--- a/server/src/main/kotlin/medlarroute/server/JobBody.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobBody.kt
@@ -38,6 +38,7 @@
     companion object {
         /** Reads a body; all findings are collected with their place. */
         fun parse(body: ByteArray, limits: JobLimits): Either<NonEmptyList<Refusal>, JobBody> {
+            if (isNestedTooDeep(body)) return malformed("body", "has more than $MAX_NESTING nested lists and objects")
             val root = try {
                 Json.parseToJsonElement(body.decodeToString(throwOnInvalidSequence = true))
             } catch (e: SerializationException) {
@@ -49,6 +50,32 @@
             return JobBodyReader(limits).read(root)
         }
 
+        /** Time that the caller of [body] waits; the longest allowed one if the body can't be read. */
+        fun timeoutOf(body: ByteArray, limits: JobLimits): Duration =
+            parse(body, limits).fold({ limits.maxTimeout }, { it.timeout })
+
+        /** The parser is recursive: a small body of many brackets would exhaust the stack. */
+        private fun isNestedTooDeep(body: ByteArray): Boolean {
+            var nesting = 0
+            var inString = false
+            var escaped = false
+            for (byte in body) {
+                when (byte.toInt().toChar()) {
+                    '"' -> if (!escaped) inString = !inString
+                    '[', '{' -> if (!inString) nesting++
+                    ']', '}' -> if (!inString) nesting--
+                }
+                escaped = inString && !escaped && byte == BACKSLASH
+                if (nesting > MAX_NESTING) return true
+            }
+            return false
+        }
+
+        private const val BACKSLASH = '\\'.code.toByte()
+
+        /** A valid body has three levels. */
+        private const val MAX_NESTING = 16
+
         private fun malformed(place: String, message: String) =
             NonEmptyList(Refusal(RefusalCode.MALFORMED, place, message), emptyList()).left()
     }
--- a/server/src/main/kotlin/medlarroute/server/JobObserver.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobObserver.kt
@@ -1,18 +1,41 @@
 package medlarroute.server
 
 import medlarroute.core.Answer
+import medlarroute.core.CallerId
 import medlarroute.core.Job
-import medlarroute.core.SubmissionId
+import kotlin.time.Duration
+
+/**
+ * What became of one job.
+ *
+ * @property elapsed time from the submission to the answer.
+ * @property longestRun longest run time that a backend server reported for one of its tasks.
+ * @property messages messages exchanged with backend servers for its tasks.
+ */
+internal class JobRecord(
+    val job: Job,
+    val answer: Answer,
+    val elapsed: Duration,
+    val longestRun: Duration,
+    val messages: Int,
+)
 
 /** Told of the course of jobs, for metrics. Thread-safe and non-blocking. */
 internal interface JobObserver {
-    fun submitted(job: Job)
+    /** A job has ended. */
+    fun ended(record: JobRecord)
+
+    /** A request of [caller] that can't be read was refused. */
+    fun malformed(caller: CallerId)
 
-    fun answered(submission: SubmissionId, answer: Answer)
+    /** [messages] were exchanged for a task whose job had ended before. */
+    fun stray(messages: Int)
 
     object None : JobObserver {
-        override fun submitted(job: Job): Unit = Unit
+        override fun ended(record: JobRecord): Unit = Unit
+
+        override fun malformed(caller: CallerId): Unit = Unit
 
-        override fun answered(submission: SubmissionId, answer: Answer): Unit = Unit
+        override fun stray(messages: Int): Unit = Unit
     }
 }
--- a/server/src/main/kotlin/medlarroute/server/JobService.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -15,8 +15,10 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /**
  * Handles submissions whose home is this instance, and replays those of homes that handed over their records.
@@ -31,6 +33,7 @@
     private val loop: JobSink,
     private val limits: JobLimits,
     private val observer: JobObserver = JobObserver.None,
+    private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) : HomeHandler {
     /** Where new jobs and cancellations go. Thread-safe and non-blocking. */
     interface JobSink {
@@ -46,20 +49,30 @@
 
         /** Completed once the engine was given the job; a cancellation must not overtake it. */
         val submitted = CompletableFuture<Unit>()
+
+        /** Null until the body was read. */
+        @Volatile
+        var account: JobAccount? = null
     }
 
     private val pending = ConcurrentHashMap<SubmissionId, Pending>()
+    private val idle = CompletableFuture<Unit>()
+
+    /** Submissions that may be about to begin, or have begun and have no answer. */
+    private val open = AtomicInteger()
 
     @Volatile
     private var draining = false
 
     /** Submissions that have begun and have no answer yet. */
-    val openSubmissions: Int get() = pending.size
+    val openSubmissions: Int get() = open.get()
 
-    /** Refuses new submissions as not run from now on. */
-    fun drain() {
+    /** Refuses new submissions as not run from now on; completes when all that have begun are answered. */
+    fun drain(): CompletableFuture<Unit> {
         draining = true
         registry.seal()
+        if (open.get() == 0) idle.complete(Unit)
+        return idle
     }
 
     override fun handle(request: CallerRequest): CompletableFuture<CallerReply> {
@@ -71,10 +84,23 @@
         }
     }
 
-    /** Records [answer] and hands it to everyone who waits for it. */
+    /** Records [answer] and hands it to everyone who waits for it. Called once for each submission that has begun. */
     fun answered(submission: SubmissionId, answer: Answer) {
         registry.end(submission, answer)
-        pending.remove(submission)?.answer?.complete(answer)
+        val entry = pending.remove(submission)
+        entry?.account?.let { observer.ended(it.close(answer)) }
+        entry?.answer?.complete(answer)
+        closed()
+    }
+
+    /** Counts the messages of a start that has ended. */
+    fun taskEnded(reply: TaskReply) {
+        val account = pending[reply.task.submission]?.account
+        if (account == null) observer.stray(reply.messages) else account.add(reply)
+    }
+
+    private fun closed() {
+        if (open.decrementAndGet() == 0 && draining) idle.complete(Unit)
     }
 
     private fun isHomeOf(submission: SubmissionId): Boolean {
@@ -94,25 +120,27 @@
 
     private fun submit(request: CallerRequest): CompletableFuture<CallerReply> {
         val submission = request.submission
-        return when (val lookup = registry.begin(submission, request.caller, digestOf(request.body))) {
-            Lookup.New -> begin(request)
-            Lookup.Running -> await(submission, attach(request), request.timeout)
-            else -> CompletableFuture.completedFuture(settled(submission, lookup))
-        }
+        open.incrementAndGet()
+        val lookup = registry.begin(submission, request.caller, digestOf(request.body))
+        if (lookup == Lookup.New) return begin(request)
+        closed()
+        if (lookup == Lookup.Running) return await(submission, attach(request), request.timeout)
+        return CompletableFuture.completedFuture(settled(submission, lookup))
     }
 
     private fun begin(request: CallerRequest): CompletableFuture<CallerReply> {
         val submission = request.submission
         val entry = pending.computeIfAbsent(submission) { Pending() }
         val body = JobBody.parse(request.body, limits).getOrElse { findings ->
+            observer.malformed(request.caller)
             answered(submission, Answer.Refused(findings))
-            return await(submission, entry.answer, request.timeout)
+            return await(submission, entry, request.timeout)
         }
         val job = body.toJob(request)
-        observer.submitted(job)
+        entry.account = JobAccount(job, clock)
         if (!loop.submit(job)) answered(submission, INBOX_FULL)
         entry.submitted.complete(Unit)
-        return await(submission, entry.answer, job.timeout)
+        return await(submission, entry, job.timeout)
     }
 
     private fun JobBody.toJob(request: CallerRequest): Job {
@@ -120,10 +148,9 @@
         return Job(request.submission, request.caller, kind, timeout, tasks, idempotent)
     }
 
-    private fun attach(request: CallerRequest): CompletableFuture<Answer> = attach(request.submission, request).answer
-
     /** The job may end between the look-up and the attachment, so the registry is asked again afterwards. */
-    private fun attach(submission: SubmissionId, request: CallerRequest): Pending {
+    private fun attach(request: CallerRequest): Pending {
+        val submission = request.submission
         val entry = pending.computeIfAbsent(submission) { Pending() }
         val lookup = registry.peek(submission, request.caller)
         if (lookup == Lookup.Running) return entry
@@ -139,15 +166,12 @@
             Answer.Failed(FailureCode.ANSWER_EXPIRED, "the answer is no longer kept")
         }
 
-    private fun await(
-        submission: SubmissionId,
-        answer: CompletableFuture<Answer>,
-        timeout: Duration,
-    ): CompletableFuture<CallerReply> {
+    private fun await(submission: SubmissionId, entry: Pending, timeout: Duration): CompletableFuture<CallerReply> {
         val late = ReplyJson.failure(submission, FailureCode.DEADLINE, "no answer was known at the deadline")
-        return answer
+        val limit = minOf(timeout, entry.account?.job?.timeout ?: timeout) + ANSWER_GRACE
+        return entry.answer
             .thenApply { ReplyJson.answer(submission, it) }
-            .completeOnTimeout(late, (timeout + ANSWER_GRACE).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            .completeOnTimeout(late, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun status(request: CallerRequest): CallerReply =
@@ -161,9 +185,9 @@
         if (registry.peek(submission, request.caller) != Lookup.Running) {
             return CompletableFuture.completedFuture(status(request))
         }
-        val entry = attach(submission, request)
+        val entry = attach(request)
         entry.submitted.thenRun { loop.offer(Input.Cancel(submission)) }
-        return await(submission, entry.answer, request.timeout)
+        return await(submission, entry, request.timeout)
     }
 
     private fun settled(submission: SubmissionId, lookup: Lookup): CallerReply =
--- /dev/null
+++ b/server/src/test/kotlin/medlarroute/server/JobServiceTest.kt
@@ -0,0 +1,193 @@
+package medlarroute.server
+
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import medlarroute.core.Answer
+import medlarroute.core.CallerId
+import medlarroute.core.FailureCode
+import medlarroute.core.FailureDomainId
+import medlarroute.core.Incarnation
+import medlarroute.core.Input
+import medlarroute.core.InstanceId
+import medlarroute.core.Job
+import medlarroute.core.RegistrySettings
+import medlarroute.core.SubmissionId
+import medlarroute.core.SubmissionRegistry
+import medlarroute.core.SuccessorRecords
+import org.junit.jupiter.api.Test
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class JobServiceTest {
+    private class Sink : JobService.JobSink {
+        val jobs = ArrayList<Job>()
+        val inputs = ArrayList<Input>()
+        var accepts = true
+
+        override fun submit(job: Job): Boolean = accepts.also { if (it) synchronized(jobs) { jobs += job } }
+
+        override fun offer(input: Input) {
+            inputs += input
+        }
+    }
+
+    private val settings = RegistrySettings()
+    private val home = SubmissionRegistry.Home(FailureDomainId("local"), InstanceId("e1"), Incarnation(7))
+    private val registry = SubmissionRegistry(home, settings)
+    private val successors = SuccessorRecords(settings)
+    private val sink = Sink()
+    private val limits = JobLimits(110, 65_536, 10.seconds, 60.seconds)
+    private val service = JobService(home, registry, successors, sink, limits)
+    private val caller = CallerId("router")
+    private val submission = SubmissionId(checkNotNull(registry.openTicket(caller)), 1)
+    private val body = """{"kind":"check","tasks":[{"payload":"a"}]}"""
+
+    private fun request(
+        operation: Operation = Operation.SUBMIT,
+        body: String = this.body,
+        submission: SubmissionId = this.submission,
+        timeout: Duration = 20.seconds,
+    ) = CallerRequest(operation, submission, caller, body.encodeToByteArray(), timeout)
+
+    private fun submit(body: String = this.body, timeout: Duration = 20.seconds) =
+        service.handle(request(body = body, timeout = timeout))
+
+    private fun CompletableFuture<CallerReply>.reply() = get(10, TimeUnit.SECONDS)
+
+    private fun CallerReply.text() = body.decodeToString()
+
+    /** Guards against a second job for a copy of a request, and against a copy that gets no answer. */
+    @Test
+    fun `copies of a running request wait for the one answer`() {
+        val replies = List(3) { submit() }
+        sink.jobs.size shouldBe 1
+        service.answered(submission, Answer.Complete(listOf("out")))
+        replies.map { it.reply().text() }.toSet() shouldBe
+            setOf("""{"status":"complete","submission":"$submission","results":[{"index":0,"output":"out"}]}""")
+        submit().reply().httpStatus shouldBe 200
+        sink.jobs.size shouldBe 1
+    }
+
+    /** Guards against a waiting copy that misses the answer because the job ends while it attaches. */
+    @Test
+    fun `copies that arrive while the job ends are all answered`() {
+        val threads = Executors.newFixedThreadPool(4)
+        repeat(300) { round ->
+            val id = SubmissionId(submission.ticket, round + 10L)
+            val first = service.handle(request(submission = id))
+            val go = CountDownLatch(1)
+            val copies = List(3) {
+                CompletableFuture.supplyAsync({
+                    go.await()
+                    service.handle(request(submission = id)).reply()
+                }, threads)
+            }
+            go.countDown()
+            service.answered(id, Answer.Complete(listOf("out")))
+            copies.forEach { it.get(20, TimeUnit.SECONDS).httpStatus shouldBe 200 }
+            first.reply().httpStatus shouldBe 200
+        }
+        threads.shutdown()
+        service.openSubmissions shouldBe 0
+    }
+
+    /** Guards against a refusal "not run" whose submission could still begin with a delayed copy. */
+    @Test
+    fun `a refused submission never begins later`() {
+        sink.accepts = false
+        val refused = submit().reply()
+        refused.httpStatus shouldBe 503
+        refused.text() shouldContain "\"notRun\":true"
+        sink.accepts = true
+        submit().reply().text() shouldBe refused.text()
+        submit(body = "{").reply().httpStatus shouldBe 409
+        sink.jobs.shouldBeEmpty()
+    }
+
+    /** Guards against a malformed request whose id can be used again, so that its refusal would become false. */
+    @Test
+    fun `a malformed body is refused and recorded`() {
+        submit(body = "{").reply().httpStatus shouldBe 400
+        submit().reply().httpStatus shouldBe 409
+        sink.jobs.shouldBeEmpty()
+    }
+
+    /** Guards against a caller that waits for ever, and against a false "not run" when the engine is silent. */
+    @Test
+    fun `a request is answered at its deadline even if the engine never answers`() {
+        val reply = submit(timeout = 1.milliseconds).reply()
+        reply.httpStatus shouldBe 504
+        reply.text() shouldContain "\"mayHaveRun\":true"
+        sink.jobs.single().timeout shouldBe 1.milliseconds
+    }
+
+    /** Guards against states that are reported wrongly. */
+    @Test
+    fun `the status follows the job`() {
+        fun status(of: SubmissionId = submission) =
+            service.handle(request(Operation.STATUS, body = "", submission = of)).reply()
+        status().text() shouldBe """{"status":"unknown","submission":"$submission"}"""
+        submit()
+        status().text() shouldBe """{"status":"running","submission":"$submission"}"""
+        service.answered(submission, Answer.Failed(FailureCode.TASK_FAILED, "no disk"))
+        status().text() shouldBe """{"status":"failed","submission":"$submission",""" +
+            """"code":"TASK_FAILED","mayHaveRun":true,"detail":"no disk"}"""
+        status(submission.copy(ticket = submission.ticket.copy(sessionNumber = 99))).httpStatus shouldBe 404
+    }
+
+    /** Guards against a cancellation that is lost or answered before the job has ended. */
+    @Test
+    fun `a cancelled job is answered with what the engine decides`() {
+        val waiting = submit()
+        val cancelled = service.handle(request(Operation.CANCEL, body = ""))
+        sink.inputs.single() shouldBe Input.Cancel(submission)
+        cancelled.isDone shouldBe false
+        service.answered(submission, Answer.Failed(FailureCode.CANCELLED, "cancelled by the caller"))
+        cancelled.reply().httpStatus shouldBe 499
+        waiting.reply().text() shouldContain "CANCELLED"
+    }
+
+    /** Guards against a false "not run" about a submission whose home is dead. */
+    @Test
+    fun `a submission of an earlier life of the instance may have run`() {
+        val old = submission.copy(ticket = submission.ticket.copy(incarnation = Incarnation(6)))
+        val reply = service.handle(request(submission = old)).reply()
+        reply.httpStatus shouldBe 410
+        reply.text() shouldContain "HOME_LOST"
+        sink.jobs.shouldBeEmpty()
+    }
+
+    /** Guards against a successor that starts a submission, or that loses an answer it was handed. */
+    @Test
+    fun `records of a stopped home are replayed and nothing new begins`() {
+        val stopped = SubmissionRegistry(home.copy(incarnation = Incarnation(6)), settings)
+        val old = SubmissionId(checkNotNull(stopped.openTicket(caller)), 1)
+        val oldService = JobService(home.copy(incarnation = Incarnation(6)), stopped, successors, sink, limits)
+        oldService.handle(request(submission = old))
+        oldService.answered(old, Answer.Complete(listOf("out")))
+        oldService.drain()
+        successors.add(stopped.export())
+        service.handle(request(submission = old)).reply().httpStatus shouldBe 200
+        service.handle(request(submission = old.copy(sequence = 2))).reply().httpStatus shouldBe 409
+        sink.jobs.size shouldBe 1
+    }
+
+    /** Guards against a drain that ends while a job still runs, or never ends. */
+    @Test
+    fun `a drain refuses new jobs and ends with the last running one`() {
+        submit()
+        val drained = service.drain()
+        val refused = service.handle(request(submission = submission.copy(sequence = 2))).reply()
+        refused.httpStatus shouldBe 503
+        refused.text() shouldContain "DRAINING"
+        drained.isDone shouldBe false
+        service.answered(submission, Answer.Complete(listOf("out")))
+        drained.isDone shouldBe true
+    }
+}
