Treat a conflict reply as a lost task, and tell the extension of jobs and replies

The backend protocol allows 409 with Task-Started: no for an id that was used before. The earlier task may have run, so the task must not be started again. The peers part needs the incarnation and state of each reply and the demand of each job; Extension gets both, and adds its own services to the operators' port.

--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -139,10 +139,11 @@
 
     private fun replied(attempt: Attempt, reply: AggregatedHttpResponse) {
         val usage = usageOf(reply)
-        val isLeaving = reply.headers().get(BACKEND_STATE) == LEAVING
-        if (isLeaving) markLeaving() else leaving = false
+        noteState(reply)
+        // An id that was used before belongs to a task that may have run, although this request started nothing.
+        if (reply.status() == HttpStatus.CONFLICT) return lost(attempt, "the backend server has seen the task before")
         if (reply.headers().get(TASK_STARTED) == NO) {
-            val reason = if (isLeaving) NotStartedReason.LEAVING else NotStartedReason.BUSY
+            val reason = if (leaving) NotStartedReason.LEAVING else NotStartedReason.BUSY
             return finish(attempt) { notStarted(it, reason, usage) }
         }
         val message = messageOf(reply)
@@ -154,6 +155,13 @@
         }
     }
 
+    private fun noteState(reply: AggregatedHttpResponse) {
+        val isLeaving = reply.headers().get(BACKEND_STATE) == LEAVING
+        if (isLeaving) markLeaving() else leaving = false
+        val incarnation = reply.headers().getLong(BACKEND_INCARNATION) ?: return
+        observer.replied(BackendReply(address.id, incarnation, isLeaving))
+    }
+
     /** Asks for the state of a task whose reply is missing. Uses a new connection if the old one is closed. */
     private fun query(attempt: Attempt, delay: Duration) {
         if (attempts[attempt.start.task] !== attempt) return
@@ -167,7 +175,8 @@
 
     private fun queried(attempt: Attempt, delay: Duration, reply: AggregatedHttpResponse?, cause: Throwable?) {
         val task = attempt.start.task
-        if (reply == null) return lost(attempt, "no reply, and no task state: ${Exceptions.peel(cause!!).message}")
+        if (reply == null) return lost(attempt, "no reply, and no task state: ${Exceptions.peel(cause!!)}")
+        noteState(reply)
         if (reply.status() == HttpStatus.NOT_FOUND) return lost(attempt, "no reply, and the task is not known")
         val message = messageOf(reply)
         when (message?.state) {
@@ -253,6 +262,7 @@
         const val BACKEND_STATE = "backend-state"
         const val BUSY_SLOTS = "busy-slots"
         const val SLOTS = "slots"
+        const val BACKEND_INCARNATION = "backend-incarnation"
         const val TASK_STARTED = "task-started"
         const val LEAVING = "leaving"
         const val NO = "no"
--- a/server/src/main/kotlin/medlarroute/server/BackendObserver.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendObserver.kt
@@ -1,7 +1,11 @@
 package medlarroute.server
 
+import medlarroute.core.BackendId
 import medlarroute.core.NotStartedReason
 
+/** What the headers of a reply tell of the backend server. */
+internal data class BackendReply(val backend: BackendId, val incarnation: Long, val isLeaving: Boolean)
+
 /** Told of what is exchanged with backend servers, for metrics. Thread-safe and non-blocking. */
 internal interface BackendObserver {
     /** A start was sent. */
@@ -10,6 +14,9 @@
     /** A start was proved not to have taken place. */
     fun notStarted(reason: NotStartedReason)
 
+    /** A reply to a start or to a query for the state of a task has arrived. */
+    fun replied(reply: BackendReply)
+
     /** The state of a task is asked for, since its reply did not arrive. */
     fun queried()
 
@@ -21,6 +28,8 @@
 
         override fun notStarted(reason: NotStartedReason): Unit = Unit
 
+        override fun replied(reply: BackendReply): Unit = Unit
+
         override fun queried(): Unit = Unit
 
         override fun connectionSilent(): Unit = Unit
--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -75,7 +75,7 @@
     private val extension =
         extend(InstanceParts(settings, identity, engineSink, registry, successors, jobs, metrics.registry))
     private val backends =
-        BackendClient(settings.backends, ::addressOf, engineSink, loop::elapsed, metrics)
+        BackendClient(settings.backends, ::addressOf, engineSink, loop::elapsed, Replies())
     private val callerServer = callerServer()
     private val operatorServer = operatorServer()
 
@@ -185,7 +185,7 @@
     }
 
     private fun operatorServer(): Server {
-        val api = OperatorApi(metrics.registry, loop::isAlive, ::status, extension.operatorServices)
+        val api = OperatorApi(metrics.registry, loop::isAlive, ::status, extension::addOperatorServices)
         val builder = Server.builder().http(InetSocketAddress(settings.operators.host, settings.operators.port))
         api.addTo(builder)
         return builder.build()
@@ -236,7 +236,10 @@
     private inner class EngineSink :
         JobService.JobSink,
         InputSink {
-        override fun submit(job: Job): Boolean = loop.submit(job)
+        override fun submit(job: Job): Boolean {
+            extension.jobSubmitted(job)
+            return loop.submit(job)
+        }
 
         override fun offer(input: Input) {
             known.note(input)
@@ -245,6 +248,10 @@
         }
     }
 
+    private inner class Replies : BackendObserver by metrics {
+        override fun replied(reply: BackendReply): Unit = extension.backendReplied(reply)
+    }
+
     private companion object {
         val log = LogManager.getLogger(EntryInstance::class.java)
 
--- a/server/src/main/kotlin/medlarroute/server/Extension.kt
+++ b/server/src/main/kotlin/medlarroute/server/Extension.kt
@@ -1,9 +1,10 @@
 package medlarroute.server
 
-import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServerBuilder
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.serialization.json.JsonObject
 import medlarroute.core.FailureCode
+import medlarroute.core.Job
 import medlarroute.core.RegistryExport
 import medlarroute.core.Settings
 import medlarroute.core.SubmissionRegistry
@@ -34,8 +35,8 @@
     /** Addresses of backend servers that the embedding code did not supply. */
     val addresses: BackendAddresses
 
-    /** Services on the operators' port, by path pattern. */
-    val operatorServices: Map<String, HttpService>
+    /** Adds services to the operators' port. */
+    fun addOperatorServices(server: ServerBuilder)
 
     /** Called before callers are served. */
     fun start()
@@ -46,6 +47,13 @@
     /** Part of `/v1/status`. */
     fun status(): JsonObject
 
+    /** A new job was submitted, admitted or not. */
+    fun jobSubmitted(job: Job)
+
+    /** A backend server replied. */
+    fun backendReplied(reply: BackendReply)
+
+    /** New jobs are refused from now on. */
     fun drainBegun()
 
     /** Sends the records to a successor; completes with whether one has them. Never completes exceptionally. */
@@ -63,7 +71,8 @@
     }
     override val claims = ClaimHandler.Unavailable
     override val addresses = BackendAddresses { null }
-    override val operatorServices = emptyMap<String, HttpService>()
+
+    override fun addOperatorServices(server: ServerBuilder): Unit = Unit
 
     override fun start(): Unit = Unit
 
@@ -71,6 +80,10 @@
 
     override fun status(): JsonObject = JsonObject(emptyMap())
 
+    override fun jobSubmitted(job: Job): Unit = Unit
+
+    override fun backendReplied(reply: BackendReply): Unit = Unit
+
     override fun drainBegun(): Unit = Unit
 
     override fun handOver(records: RegistryExport): CompletableFuture<Boolean> =
--- a/server/src/main/kotlin/medlarroute/server/Metrics.kt
+++ b/server/src/main/kotlin/medlarroute/server/Metrics.kt
@@ -77,6 +77,8 @@
 
     override fun notStarted(reason: NotStartedReason): Unit = notStarted.getValue(reason).increment()
 
+    override fun replied(reply: BackendReply): Unit = Unit
+
     override fun queried(): Unit = queries.increment()
 
     override fun connectionSilent(): Unit = silentConnections.increment()
--- a/server/src/main/kotlin/medlarroute/server/OperatorApi.kt
+++ b/server/src/main/kotlin/medlarroute/server/OperatorApi.kt
@@ -4,7 +4,6 @@
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
-import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServerBuilder
 import com.linecorp.armeria.server.prometheus.PrometheusExpositionService
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -47,19 +46,19 @@
     private val meters: PrometheusMeterRegistry,
     private val isAlive: () -> Boolean,
     private val status: () -> InstanceStatus,
-    private val services: Map<String, HttpService>,
+    private val addServices: (ServerBuilder) -> Unit,
 ) {
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     private data class Readiness(@EncodeDefault val ready: Boolean, val reasons: List<String>)
 
-    /** Adds the routes of the API, and the services given to it, to [server]. */
+    /** Adds the routes of the API, and the services that other parts supply, to [server]. */
     fun addTo(server: ServerBuilder) {
         server.service("/healthz") { _, _ -> text(if (isAlive()) HttpStatus.OK else HttpStatus.SERVICE_UNAVAILABLE) }
         server.service("/readyz") { _, _ -> readiness() }
         server.service("/v1/status") { _, _ -> json(HttpStatus.OK, Json.encodeToString(status())) }
         server.service("/metrics", PrometheusExpositionService.of(meters.prometheusRegistry))
-        services.forEach { (path, service) -> server.service(path, service) }
+        addServices(server)
     }
 
     private fun readiness(): HttpResponse {
--- a/server/src/test/kotlin/medlarroute/server/BackendClientTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/BackendClientTest.kt
@@ -2,9 +2,11 @@
 
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.ResponseHeaders
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.netty.handler.codec.http2.Http2Error
 import medlarroute.core.BackendId
@@ -109,6 +111,14 @@
         nextInput().shouldBeInstanceOf<Input.TaskLost>().message shouldContain "503"
     }
 
+    /** Guards against a second start of a task that the backend server has seen: the first one may have run. */
+    @Test
+    fun `a task that the backend server has seen before is lost`() {
+        val headers = ResponseHeaders.of(HttpStatus.CONFLICT, "Task-Started", "no")
+        client(FakeBackend(onStart = { FakeBackend.now(HttpResponse.of(headers)) })).start(start())
+        nextInput().shouldBeInstanceOf<Input.TaskLost>()
+    }
+
     /** Guards against a reply that can't be read being taken for an empty output. */
     @Test
     fun `a reply that is not JSON loses the task`() {
@@ -126,6 +136,16 @@
         nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
     }
 
+    /** Guards against a start that is written to a peer that accepts connections and never speaks HTTP/2. */
+    @Test
+    fun `a peer that never answers the handshake proves that the task did not start`() {
+        val listener = ServerSocket(0).opened()
+        client(BackendAddress(backendId, "127.0.0.1", listener.localPort)).start(start())
+        val socket = listener.accept().opened()
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
+        socket.getInputStream().readAllBytes().decodeToString() shouldNotContain "local.e1"
+    }
+
     /** Guards against a start that is sent by a process that was paused after the decision. */
     @Test
     fun `a start whose decision is too old is not sent`() {
