Report every start even after an unexpected error in the client for backend servers

An exception while a start was handed over ended the effects of the whole tick, and one in the event loop left the task open for ever. The first is now reported as not started, since nothing was handed over, and the second as lost.

--- a/server/src/main/kotlin/medlarroute/server/BackendClient.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendClient.kt
@@ -9,6 +9,7 @@
 import medlarroute.core.Effect
 import medlarroute.core.Input
 import medlarroute.core.NotStartedReason
+import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -39,8 +40,13 @@
 
     /** Sends the task unless the decision is too old or no address is known. */
     fun start(start: Effect.Start) {
-        val lane = laneOf(start.backend)
-        if (lane != null) return lane.start(start)
+        try {
+            val lane = laneOf(start.backend)
+            if (lane != null) return lane.start(start)
+        } catch (e: RuntimeException) {
+            // Nothing was handed to the lane: its address can't be used, or its event loop has ended.
+            log.warn("backend: no task can be sent to {}", start.backend, e)
+        }
         observer.notStarted(NotStartedReason.NOT_DELIVERED)
         sink.offer(Input.TaskNotStarted(start.task, NotStartedReason.NOT_DELIVERED))
     }
@@ -68,6 +74,7 @@
     }
 
     private companion object {
+        val log = LogManager.getLogger(BackendClient::class.java)
         const val SHUTDOWN_LIMIT_MS = 1_000L
     }
 }
--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -69,14 +69,29 @@
         val attempt = Attempt(start)
         attempts[start.task] = attempt
         observer.started()
-        Clients.newContextCaptor().use { captor ->
-            val response = client.execute(startRequest(start), responseTimeout(start.lease + REPLY_MARGIN))
-            captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
-                log.channel()?.let { onEventLoop { connected(attempt, BackendConnection.of(it, ::goAwayReceived)) } }
-            }
-            response.aggregate().handle { reply, cause -> onEventLoop { ended(attempt, reply, cause) } }
+        guard(attempt) {
+            send(attempt)
+            if (start.lease > settings.leaseMs.milliseconds) scheduleRenewal(attempt)
+        }
+    }
+
+    private fun send(attempt: Attempt): Unit = Clients.newContextCaptor().use { captor ->
+        val start = attempt.start
+        val response = client.execute(startRequest(start), responseTimeout(start.lease + REPLY_MARGIN))
+        captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
+            log.channel()?.let { onEventLoop { connected(attempt, BackendConnection.of(it, ::goAwayReceived)) } }
+        }
+        response.aggregate().handle { reply, cause -> onEventLoop { guard(attempt) { ended(attempt, reply, cause) } } }
+    }
+
+    /** An unexpected error proves nothing about the task, so it is lost; without a report it would stay open. */
+    private fun guard(attempt: Attempt, action: () -> Unit) {
+        try {
+            action()
+        } catch (e: RuntimeException) {
+            log.error("backend: {} failed on {}", attempt.start.task, address.id, e)
+            lost(attempt, "internal error: $e")
         }
-        if (start.lease > settings.leaseMs.milliseconds) scheduleRenewal(attempt)
     }
 
     private fun startRequest(start: Effect.Start): HttpRequest {
@@ -170,7 +185,7 @@
         val request = RequestHeaders.of(HttpMethod.GET, taskPath(attempt.start.task))
         client.execute(HttpRequest.of(request), responseTimeout(settings.silentAfterMs.milliseconds))
             .aggregate()
-            .handle { reply, cause -> onEventLoop { queried(attempt, delay, reply, cause) } }
+            .handle { reply, cause -> onEventLoop { guard(attempt) { queried(attempt, delay, reply, cause) } } }
     }
 
     private fun queried(attempt: Attempt, delay: Duration, reply: AggregatedHttpResponse?, cause: Throwable?) {
@@ -198,7 +213,7 @@
     }
 
     private fun done(task: TaskId, message: TaskMessage, usage: BackendUsage?): Input =
-        Input.TaskDone(task, message.output, message.runMs.milliseconds, usage)
+        Input.TaskDone(task, message.output, message.runMs.coerceAtLeast(0.0).milliseconds, usage)
 
     private fun lost(attempt: Attempt, message: String): Unit =
         finish(attempt) { sink.offer(Input.TaskLost(it, message)) }
--- a/server/src/test/kotlin/medlarroute/server/BackendClientTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/BackendClientTest.kt
@@ -128,10 +128,12 @@
 
     /** Guards against a failed job where the backend server was never reached. */
     @Test
-    fun `a refused connection and an unknown address prove that the task did not start`() {
+    fun `a refused connection and an unusable address prove that the task did not start`() {
         val port = ServerSocket(0).unusedPort()
         client(BackendAddress(backendId, "127.0.0.1", port)).start(start())
         nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
+        client(BackendAddress(backendId, "no host", port)).start(start())
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
         client(address = null).start(start())
         nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
     }
