--- a/core/src/main/kotlin/medlarroute/core/SubmissionRegistry.kt
+++ b/core/src/main/kotlin/medlarroute/core/SubmissionRegistry.kt
@@ -11,6 +11,8 @@
  * @property windowSequences sequences above the low-water mark that a ticket keeps records of.
  * @property retentionMs how long a ticket is kept after its last use.
  * @property maxTickets tickets kept at once; beyond it, opening a ticket fails.
+ * @property maxTicketsPerCaller tickets of one caller kept at once, so that one caller can't use up all of them.
+ * @property maxRecords records kept at once; the oldest ended ones are dropped first.
  * @property answerBudgetBytes memory for recorded answers; the oldest are dropped first.
  */
 @Serializable
@@ -18,6 +20,8 @@
     public val windowSequences: Int = 1_000,
     public val retentionMs: Long = 900_000,
     public val maxTickets: Int = 10_000,
+    public val maxTicketsPerCaller: Int = 1_000,
+    public val maxRecords: Int = 100_000,
     public val answerBudgetBytes: Long = 33_554_432,
 )
 
@@ -38,7 +42,7 @@
     /** The same id was used with another request. */
     public data object DigestMismatch : Lookup
 
-    /** The ticket takes no new submission and has never seen this one; nothing was run. */
+    /** The submission was never seen, and the ticket will never accept it; nothing was run. */
     public data class Closed(public val reason: String) : Lookup
 
     /** This registry never issued the ticket, or it belongs to another caller; nothing was run. */
@@ -48,8 +52,9 @@
 /**
  * Records of the submissions whose home is this incarnation of this instance.
  *
- * A submission is reported as [Lookup.New] at most once, whatever happens to its record or answer. Thread-safe; every
- * call holds one lock for a short time.
+ * A submission is reported as [Lookup.New] at most once, whatever happens to its record or answer. Memory is bounded by
+ * [RegistrySettings]; what no longer fits is reported as [Lookup.Expired]. Thread-safe; every call holds one lock for a
+ * short time.
  */
 public class SubmissionRegistry(
     private val home: Home,
@@ -63,34 +68,33 @@
         public val incarnation: Incarnation,
     )
 
-    private class Record(val digest: Long) {
-        var ended = false
-        var answer: Answer? = null
-    }
+    private val origin = clock.markNow()
 
-    private class Ticket(val caller: CallerId, var usedAt: Duration) {
-        var lowWaterSequence = 0L
-        val records = HashMap<Long, Record>()
+    /** By session number, least recently used first. */
+    private val tickets = LinkedHashMap<Long, TicketRecords>(INITIAL_CAPACITY, LOAD_FACTOR, true)
+    private val ticketsByCaller = HashMap<CallerId, Int>()
 
-        /** A refused sequence must never begin later, or the refusal's "not run" would become false. */
-        var closed = false
-    }
+    /** Ended records in the order in which they ended. */
+    private val ended = LinkedHashSet<SubmissionRecord>()
 
-    private val origin = clock.markNow()
-    private val tickets = LinkedHashMap<Long, Ticket>()
-    private val answers = LinkedHashMap<SubmissionId, Long>()
+    /** The part of [ended] whose answer is kept. */
+    private val answered = LinkedHashSet<SubmissionRecord>()
     private var answerBytes = 0L
+    private var recordCount = 0
     private var lastSessionNumber = 0L
     private var sealed = false
 
-    /** Issues a ticket to [caller]; null if sealed or if there are [RegistrySettings.maxTickets] live tickets. */
+    /** Issues a ticket to [caller]; null if the registry is sealed or a limit on live tickets is reached. */
     @Synchronized
     public fun openTicket(caller: CallerId): TicketId? {
         dropIdleTickets()
-        if (sealed || tickets.size >= settings.maxTickets) return null
+        val callerTickets = ticketsByCaller.getOrDefault(caller, 0)
+        if (sealed || tickets.size >= settings.maxTickets || callerTickets >= settings.maxTicketsPerCaller) return null
         val sessionNumber = ++lastSessionNumber
-        tickets[sessionNumber] = Ticket(caller, origin.elapsedNow())
-        return TicketId(home.failureDomain, home.instance, home.incarnation, sessionNumber)
+        val id = TicketId(home.failureDomain, home.instance, home.incarnation, sessionNumber)
+        tickets[sessionNumber] = TicketRecords(id, caller, origin.elapsedNow())
+        ticketsByCaller[caller] = callerTickets + 1
+        return id
     }
 
     /** Looks up [submission] of [caller] and, if it is new, records that it now runs. */
@@ -105,15 +109,6 @@
         return if (record != null) known(record, digest) else beginUnseen(ticket, submission.sequence, digest)
     }
 
-    private fun beginUnseen(ticket: Ticket, sequence: Long, digest: Long): Lookup {
-        if (sequence <= ticket.lowWaterSequence) return Lookup.Expired
-        if (sealed) return Lookup.Closed("the instance is stopping")
-        if (!ticket.closed && !makeRoom(ticket, sequence)) ticket.closed = true
-        if (ticket.closed) return Lookup.Closed("the window of the ticket was full")
-        ticket.records[sequence] = Record(digest)
-        return Lookup.New
-    }
-
     /** Looks up [submission] of [caller] without changing anything; null if it was never seen and could still begin. */
     @Synchronized
     public fun peek(submission: SubmissionId, caller: CallerId): Lookup? {
@@ -126,17 +121,19 @@
         return if (submission.sequence <= ticket.lowWaterSequence) Lookup.Expired else null
     }
 
-    /** Records the answer of a submission that [begin] reported as new. */
+    /** Records the answer of a submission that [begin] reported as new. Only the first answer counts. */
     @Synchronized
     public fun end(submission: SubmissionId, answer: Answer) {
         val record = tickets[submission.ticket.sessionNumber]?.records?.get(submission.sequence) ?: return
-        if (record.ended) return
+        if (submission.ticket != record.ticket.id || record.ended) return
         record.ended = true
         record.answer = answer
-        val sizeBytes = sizeBytes(answer)
-        answers[submission] = sizeBytes
-        answerBytes += sizeBytes
+        record.answerBytes = sizeBytes(answer)
+        ended += record
+        answered += record
+        answerBytes += record.answerBytes
         dropOldestAnswers()
+        dropOldestRecords()
     }
 
     /** Takes no new ticket and no new submission from now on. Running submissions can still end. */
@@ -149,69 +146,85 @@
     @Synchronized
     public fun export(): RegistryExport {
         check(sealed) { "only a sealed registry has complete records" }
-        return RegistryExport(home, tickets.map { (sessionNumber, ticket) -> exported(sessionNumber, ticket) })
+        return RegistryExport(home, tickets.values.map(::exported))
     }
 
-    private fun exported(sessionNumber: Long, ticket: Ticket): ExportedTicket {
-        val id = TicketId(home.failureDomain, home.instance, home.incarnation, sessionNumber)
-        val records = ticket.records.map { (sequence, record) ->
-            ExportedRecord(sequence, record.digest, record.answer)
-        }
-        return ExportedTicket(id, ticket.caller, ticket.lowWaterSequence, records)
+    private fun exported(ticket: TicketRecords): ExportedTicket {
+        val records = ticket.records.values.map { ExportedRecord(it.sequence, it.digest, it.answer) }
+        return ExportedTicket(ticket.id, ticket.caller, ticket.lowWaterSequence, records)
     }
 
-    private fun known(record: Record, digest: Long): Lookup {
+    private fun beginUnseen(ticket: TicketRecords, sequence: Long, digest: Long): Lookup {
+        if (sequence <= ticket.lowWaterSequence) return Lookup.Expired
+        if (sealed) return Lookup.Closed("the instance is stopping")
+        if (!ticket.closed && !makeRoom(ticket, sequence)) ticket.closed = true
+        if (ticket.closed) return Lookup.Closed("the window of the ticket was full")
+        ticket.records[sequence] = SubmissionRecord(ticket, sequence, digest)
+        recordCount++
+        return Lookup.New
+    }
+
+    private fun known(record: SubmissionRecord, digest: Long): Lookup {
         if (record.digest != digest) return Lookup.DigestMismatch
         if (!record.ended) return Lookup.Running
         return record.answer?.let { Lookup.Answered(it) } ?: Lookup.Expired
     }
 
     private sealed interface Found {
-        class Live(val ticket: Ticket) : Found
+        class Live(val ticket: TicketRecords) : Found
 
         class Not(val lookup: Lookup) : Found
     }
 
     private fun find(id: TicketId, caller: CallerId): Found {
-        if (id.instance != home.instance || id.incarnation != home.incarnation) return Found.Not(Lookup.Expired)
+        val isOwn = id.failureDomain == home.failureDomain && id.instance == home.instance
+        if (!isOwn || id.incarnation != home.incarnation) return Found.Not(Lookup.Expired)
         if (id.sessionNumber > lastSessionNumber) return Found.Not(Lookup.UnknownTicket)
         val ticket = tickets[id.sessionNumber] ?: return Found.Not(Lookup.Expired)
         return if (ticket.caller == caller) Found.Live(ticket) else Found.Not(Lookup.UnknownTicket)
     }
 
-    /** Raises the low-water mark until [sequence] fits the window; only ended records are given up. */
-    private fun makeRoom(ticket: Ticket, sequence: Long): Boolean {
-        val lowWaterSequence = sequence - settings.windowSequences
-        if (lowWaterSequence <= ticket.lowWaterSequence) return true
-        val givenUp = ticket.records.filterKeys { it <= lowWaterSequence }
-        if (givenUp.values.any { !it.ended }) return false
-        givenUp.keys.forEach { forget(ticket, it) }
-        ticket.lowWaterSequence = lowWaterSequence
+    private fun makeRoom(ticket: TicketRecords, sequence: Long): Boolean {
+        val givenUp = ticket.raiseLowWater(sequence - settings.windowSequences) ?: return false
+        givenUp.forEach(::forget)
         return true
     }
 
-    private fun forget(ticket: Ticket, sequence: Long) {
-        ticket.records.remove(sequence)
-        val submission = answers.keys.firstOrNull {
-            it.sequence == sequence &&
-                tickets[it.ticket.sessionNumber] === ticket
-        }
-        submission?.let { answerBytes -= answers.remove(it) ?: 0 }
+    private fun forget(record: SubmissionRecord) {
+        recordCount--
+        ended -= record
+        dropAnswer(record)
+    }
+
+    private fun dropAnswer(record: SubmissionRecord) {
+        if (!answered.remove(record)) return
+        answerBytes -= record.answerBytes
+        record.answer = null
     }
 
     private fun dropOldestAnswers() {
-        val oldest = answers.entries.iterator()
-        while (answerBytes > settings.answerBudgetBytes && oldest.hasNext()) {
-            val (submission, sizeBytes) = oldest.next()
-            tickets[submission.ticket.sessionNumber]?.records?.get(submission.sequence)?.answer = null
-            answerBytes -= sizeBytes
-            oldest.remove()
+        while (answerBytes > settings.answerBudgetBytes) dropAnswer(answered.first())
+    }
+
+    /** A record whose ticket has an older one that still runs stays for the time being. */
+    private fun dropOldestRecords() {
+        if (recordCount <= settings.maxRecords) return
+        for (record in ended.take(recordCount - settings.maxRecords)) {
+            if (record in ended) record.ticket.raiseLowWater(record.sequence)?.forEach(::forget)
         }
     }
 
     private fun dropIdleTickets() {
         val idleSince = origin.elapsedNow() - settings.retentionMs.milliseconds
-        tickets.values.removeIf { ticket -> ticket.usedAt < idleSince && ticket.records.values.all { it.ended } }
+        val leastRecentlyUsed = tickets.values.iterator()
+        while (leastRecentlyUsed.hasNext()) {
+            val ticket = leastRecentlyUsed.next()
+            if (ticket.usedAt >= idleSince) return
+            if (!ticket.isIdle) continue
+            leastRecentlyUsed.remove()
+            ticket.records.values.forEach(::forget)
+            ticketsByCaller.computeIfPresent(ticket.caller) { _, count -> (count - 1).takeIf { it > 0 } }
+        }
     }
 
     private fun sizeBytes(answer: Answer): Long =
@@ -223,5 +236,7 @@
 
     private companion object {
         const val OUTPUT_OVERHEAD_BYTES = 64L
+        const val INITIAL_CAPACITY = 64
+        const val LOAD_FACTOR = 0.75f
     }
 }
