Add a footprint benchmark of the core's state

It measures heap and time per item at three sizes each and fits the slope that docs/CAPACITY.md extrapolates from.

--- /dev/null
+++ b/lab/src/main/kotlin/medlarroute/lab/FootprintBench.kt
@@ -0,0 +1,116 @@
+package medlarroute.lab
+
+import medlarroute.core.Answer
+import medlarroute.core.BackendId
+import medlarroute.core.BackendServer
+import medlarroute.core.CallerId
+import medlarroute.core.Engine
+import medlarroute.core.EngineSettings
+import medlarroute.core.FailureCode
+import medlarroute.core.FailureDomainId
+import medlarroute.core.Incarnation
+import medlarroute.core.Input
+import medlarroute.core.InstanceId
+import medlarroute.core.Job
+import medlarroute.core.KindId
+import medlarroute.core.RegistrySettings
+import medlarroute.core.Rules
+import medlarroute.core.SubmissionId
+import medlarroute.core.SubmissionRegistry
+import medlarroute.core.TaskSpec
+import java.lang.management.ManagementFactory
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
+
+/**
+ * Measures how heap and processor time of the core's state grow with its size, at three sizes each.
+ *
+ * The figures feed `docs/CAPACITY.md`. Heap is read after a full collection, so run it in a process of its own.
+ */
+internal class FootprintBench(private val out: (String) -> Unit = ::println) {
+    fun run() {
+        out("%-28s %10s %14s %12s".format("part", "size", "heap KiB", "us per item"))
+        registryRecords()
+        registryTickets()
+        backendServers()
+        openTasks()
+    }
+
+    private fun registryRecords() =
+        report("registry records", listOf(10_000, 30_000, 90_000)) { size ->
+            val registry = newRegistry()
+            val tickets = List(size / RECORDS_PER_TICKET) { checkNotNull(registry.openTicket(CALLER)) }
+            for (ticket in tickets) {
+                for (sequence in 1L..RECORDS_PER_TICKET) {
+                    val submission = SubmissionId(ticket, sequence)
+                    registry.begin(submission, CALLER, digest = sequence)
+                    registry.end(submission, Answer.Failed(FailureCode.DEADLINE, ""))
+                }
+            }
+            registry
+        }
+
+    private fun registryTickets() =
+        report("registry tickets", listOf(1_000, 3_000, 9_000)) { size ->
+            newRegistry().apply { repeat(size) { openTicket(CALLER) } }
+        }
+
+    private fun backendServers() =
+        report("engine backend servers", listOf(32, 256, 910)) { size -> newEngine(size) }
+
+    private fun openTasks() =
+        report("engine queued tasks", listOf(11_000, 33_000, 99_000)) { size ->
+            val engine = newEngine(backends = 1)
+            val ticket = checkNotNull(newRegistry().openTicket(CALLER))
+            repeat(size / TASKS_PER_JOB) { engine.tick(listOf(Input.Submit(job(SubmissionId(ticket, it + 1L))))) }
+            engine
+        }
+
+    private fun report(part: String, sizes: List<Int>, build: (Int) -> Any) {
+        build(sizes.first())
+        val points = sizes.map { size ->
+            val before = usedHeapBytes()
+            val state: Any
+            val time = measureTime { state = build(size) }
+            val heapBytes = usedHeapBytes() - before
+            check(state.hashCode() != 0 || heapBytes >= 0)
+            val microsPerItem = time.inWholeNanoseconds / NANOS_PER_MICRO / size
+            out("%-28s %10d %14.1f %12.2f".format(part, size, heapBytes / BYTES_PER_KIB, microsPerItem))
+            size.toDouble() to heapBytes.toDouble()
+        }
+        out("%-28s %10s %11.0f B each".format(part, "slope", Slope.fit(points).perUnit))
+    }
+
+    private fun newRegistry() =
+        SubmissionRegistry(
+            SubmissionRegistry.Home(DOMAIN, InstanceId("e1"), Incarnation(1)),
+            RegistrySettings(maxTicketsPerCaller = 10_000),
+        )
+
+    private fun newEngine(backends: Int): Engine {
+        val settings = EngineSettings(maxOpenJobsPerCaller = 1_000_000, maxOpenJobs = 1_000_000)
+        val seen = List(backends) { Input.BackendSeen(BackendServer(BackendId("backend-$it"), DOMAIN, slots = 8)) }
+        return Engine(settings).apply { tick(listOf(Input.RulesChanged(Rules(version = 1))) + seen) }
+    }
+
+    private fun job(submission: SubmissionId) =
+        Job(submission, CALLER, KindId("check"), 60.seconds, List(TASKS_PER_JOB) { TaskSpec("") })
+
+    private fun usedHeapBytes(): Long {
+        repeat(GC_ROUNDS) { System.gc() }
+        return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
+    }
+
+    private companion object {
+        val CALLER = CallerId("router")
+        val DOMAIN = FailureDomainId("north")
+        const val RECORDS_PER_TICKET = 100
+        const val TASKS_PER_JOB = 110
+        const val GC_ROUNDS = 3
+        const val BYTES_PER_KIB = 1024.0
+        const val NANOS_PER_MICRO = 1000.0
+    }
+}
+
+/** Runs the footprint measurement on its own. */
+fun main() = FootprintBench().run()
