--- a/lab/src/main/kotlin/medlarroute/lab/FootprintBench.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/FootprintBench.kt
@@ -37,7 +37,7 @@
     }
 
     private fun registryRecords() =
-        report("registry records", listOf(10_000, 30_000, 90_000)) { size ->
+        report("registry records", RECORD_COUNTS) { size ->
             val registry = newRegistry()
             val tickets = List(size / RECORDS_PER_TICKET) { checkNotNull(registry.openTicket(CALLER)) }
             for (ticket in tickets) {
@@ -51,15 +51,15 @@
         }
 
     private fun registryTickets() =
-        report("registry tickets", listOf(1_000, 3_000, 9_000)) { size ->
+        report("registry tickets", TICKET_COUNTS) { size ->
             newRegistry().apply { repeat(size) { openTicket(CALLER) } }
         }
 
     private fun backendServers() =
-        report("engine backend servers", listOf(32, 256, 910)) { size -> newEngine(size) }
+        report("engine backend servers", BACKEND_COUNTS) { size -> newEngine(size) }
 
     private fun openTasks() =
-        report("engine queued tasks", listOf(11_000, 33_000, 99_000)) { size ->
+        report("engine queued tasks", QUEUED_TASK_COUNTS) { size ->
             val engine = newEngine(backends = 1)
             val ticket = checkNotNull(newRegistry().openTicket(CALLER))
             repeat(size / TASKS_PER_JOB) { engine.tick(listOf(Input.Submit(job(SubmissionId(ticket, it + 1L))))) }
@@ -104,6 +104,10 @@
     private companion object {
         val CALLER = CallerId("router")
         val DOMAIN = FailureDomainId("north")
+        val RECORD_COUNTS = listOf(10_000, 30_000, 90_000)
+        val TICKET_COUNTS = listOf(1_000, 3_000, 9_000)
+        val BACKEND_COUNTS = listOf(32, 256, 910)
+        val QUEUED_TASK_COUNTS = listOf(11_000, 33_000, 99_000)
         const val RECORDS_PER_TICKET = 100
         const val TASKS_PER_JOB = 110
         const val GC_ROUNDS = 3
