--- a/lab/src/main/kotlin/medlarroute/lab/BackendStandin.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/BackendStandin.kt
@@ -137,7 +137,7 @@
     /** Makes the connections that are open now silent for good; returns their number. */
     fun silence(): Int = gate.silenceExisting()
 
-    /** Drops all tasks and connections at once, takes no connection for [downTime], then serves as a new incarnation. */
+    /** Drops all tasks and connections, takes no connection for [downTime], then serves as a new incarnation. */
     fun crash(downTime: Duration = Duration.ZERO) {
         gate.closed = true
         gate.resetAll()
--- a/lab/src/main/kotlin/medlarroute/lab/BackendStandinGroup.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/BackendStandinGroup.kt
@@ -14,8 +14,8 @@
  * Several backend stand-ins in one process with one admin port.
  *
  * Admin requests: `GET /backends` lists them; `PUT /backends/{id}/switches` changes the fields of [BackendSwitches]
- * that its JSON body names; `POST /backends/{id}/silence` and `POST /backends/{id}/crash?downMs=N` act at once. The id `all`
- * stands for all stand-ins of the process.
+ * that its JSON body names; `POST /backends/{id}/silence` and `POST /backends/{id}/crash?downMs=N` act at once. The id
+ * `all` stands for all stand-ins of the process.
  */
 class BackendStandinGroup(
     settings: List<BackendStandinSettings>,
