--- a/lab/src/main/kotlin/medlarroute/lab/ConnectionGate.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/ConnectionGate.kt
@@ -25,7 +25,7 @@
             if (!value) handlers.forEach { it.release() }
         }
 
-    /** While true, new connections are closed at once. */
+    /** While true, new connections are closed at once and nothing passes on those that are not closed yet. */
     @Volatile
     var closed: Boolean = false
 
@@ -80,7 +80,7 @@
 
         override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
             when {
-                silent -> ReferenceCountUtil.release(message)
+                silent || closed -> ReferenceCountUtil.release(message)
                 paused -> heldReads.addLast(message)
                 else -> ctx.fireChannelRead(message)
             }
@@ -88,7 +88,7 @@
 
         override fun write(ctx: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
             when {
-                silent -> {
+                silent || closed -> {
                     ReferenceCountUtil.release(message)
                     promise.setSuccess()
                 }
