--- /dev/null
+++ b/core/src/main/kotlin/medlarroute/core/JobObserver.kt
@@ -0,0 +1,46 @@
+package medlarroute.core
+
+import kotlin.time.Duration
+
+/** How a job ended, without its content. */
+public enum class JobResult { COMPLETE, FAILED, REFUSED }
+
+/**
+ * A job that was answered by its home.
+ *
+ * @property latency time from the arrival of the request at the home to its answer.
+ */
+public data class JobOutcome(
+    public val caller: CallerId,
+    public val kind: KindId,
+    public val latency: Duration,
+    public val result: JobResult,
+) {
+    public companion object {
+        /** Outcome of a job that got [answer]. */
+        public fun of(caller: CallerId, kind: KindId, latency: Duration, answer: Answer): JobOutcome =
+            JobOutcome(caller, kind, latency, resultOf(answer))
+
+        private fun resultOf(answer: Answer): JobResult =
+            when (answer) {
+                is Answer.Complete -> JobResult.COMPLETE
+                is Answer.Failed -> JobResult.FAILED
+                is Answer.Refused -> JobResult.REFUSED
+            }
+    }
+}
+
+/**
+ * Told about each job once, by its home. A replayed answer is not reported again.
+ *
+ * Implementations are thread-safe, return at once and throw nothing.
+ */
+public fun interface JobObserver {
+    /** A job has been answered. */
+    public fun answered(outcome: JobOutcome)
+
+    public companion object {
+        /** Ignores all outcomes. */
+        public val NONE: JobObserver = JobObserver { }
+    }
+}
