Read settings with all findings at once

kaml stops at the first fault. SettingsReader walks the YAML nodes along the serial form of Settings instead, so that unknown keys, wrong types, units and ranges are reported together with their places, and contradictions after that.

--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -14,6 +14,8 @@
     public val engine: EngineSettings = EngineSettings(),
     public val registry: RegistrySettings = RegistrySettings(),
     public val drain: DrainSettings = DrainSettings(),
+    public val log: LogSettings = LogSettings(),
+    public val report: ReportSettings = ReportSettings(),
 )
 
 /**
@@ -24,10 +26,15 @@
  */
 @Serializable
 public data class InstanceSettings(
+    @Setting("Name of this entry instance, stable across restarts, without dot and slash")
     public val id: String = "local",
+    @Setting("Failure domain in which this instance runs, without dot and slash")
     public val failureDomain: String = "local",
+    @Setting("Rack in which this instance runs; empty if unknown")
     public val rack: String = "",
+    @Setting("Number of this instance among the entry instances of its failure domain, from 0")
     public val quotaSlot: Int = 0,
+    @Setting("Entry instances that the failure domain has at most", min = 1.0)
     public val instancesInFailureDomain: Int = 1,
 )
 
@@ -38,17 +45,37 @@
  */
 @Serializable
 public data class CallerSettings(
+    @Setting("Address on which callers are served")
     public val host: String = "127.0.0.1",
+    @Setting("Port on which callers are served; 0 picks a free one", min = 0.0, max = 65535.0)
     public val port: Int = 8080,
+    @Setting("File with one pair of caller and token a line; empty: the header X-Caller names the caller")
     public val tokensFile: String = "",
+    @Setting("Largest body of a request", min = 1024.0)
     public val maxBodyBytes: Long = 8_388_608,
+    @Setting("Largest payload of one task", min = 1.0)
     public val maxPayloadBytes: Int = 65_536,
+    public val tls: TlsSettings = TlsSettings(),
 )
 
+/** TLS on a port. Both files are set, or neither; without them the port speaks plain text. */
+@Serializable
+public data class TlsSettings(
+    @Setting("PEM file with the chain of certificates; empty: plain text")
+    public val certificateFile: String = "",
+    @Setting("PEM file with the private key that belongs to the certificate; empty: plain text")
+    public val keyFile: String = "",
+) {
+    /** Whether the port speaks TLS. */
+    public val isEnabled: Boolean get() = certificateFile.isNotEmpty()
+}
+
 /** Port for operators. */
 @Serializable
 public data class OperatorSettings(
+    @Setting("Address on which operators are served")
     public val host: String = "127.0.0.1",
+    @Setting("Port on which operators are served; 0 picks a free one", min = 0.0, max = 65535.0)
     public val port: Int = 8081,
 )
 
@@ -60,10 +87,15 @@
  */
 @Serializable
 public data class PeerSettings(
+    @Setting("Address on which other entry instances are served")
     public val host: String = "127.0.0.1",
+    @Setting("Port on which other entry instances are served; 0 picks a free one", min = 0.0, max = 65535.0)
     public val port: Int = 8082,
+    @Setting("Time between two heartbeats", min = 10.0)
     public val heartbeatIntervalMs: Long = 1_000,
+    @Setting("Peers that get a heartbeat in each interval", min = 1.0, max = 64.0)
     public val fanOut: Int = 3,
+    @Setting("Time without contact after which a peer counts as unreachable", min = 20.0)
     public val deadAfterMs: Long = 5_000,
 )
 
@@ -74,9 +106,13 @@
  */
 @Serializable
 public data class PlatformSettings(
+    @Setting("Base URL of the platform's service; empty: none, rules come from a file")
     public val url: String = "",
+    @Setting("Time after which a request to the platform is given up", min = 1.0)
     public val timeoutMs: Long = 1_000,
+    @Setting("Time between two polls of the list of instances", min = 10.0)
     public val listIntervalMs: Long = 2_000,
+    @Setting("Time between two polls of the rules", min = 10.0)
     public val rulesIntervalMs: Long = 1_000,
 )
 
@@ -89,14 +125,54 @@
  */
 @Serializable
 public data class BackendSettings(
+    @Setting("Time after which an attempt to connect to a backend server is given up", min = 1.0)
     public val connectTimeoutMs: Long = 500,
+    @Setting("Time between two HTTP/2 PINGs on a connection", min = 10.0)
     public val pingIntervalMs: Long = 1_000,
+    @Setting("Time without any byte, while requests are outstanding, after which a connection is given up", min = 10.0)
     public val silentAfterMs: Long = 3_000,
+    @Setting("Age of a decision beyond which a start is not sent any more", min = 1.0)
     public val maxDecisionAgeMs: Long = 500,
 )
 
 /** How a stopping instance ends. [limitMs] is at least the longest timeout of a job, so that no request is cut. */
 @Serializable
 public data class DrainSettings(
+    @Setting("Longest time for which a stopping instance waits for running jobs", min = 1.0)
     public val limitMs: Long = 65_000,
 )
+
+/** How log lines are written to standard output. */
+@Serializable
+public data class LogSettings(
+    @Setting("Form of log lines: TEXT or JSON")
+    public val format: LogFormat = LogFormat.TEXT,
+    @Setting("Least severe level that is written: ERROR, WARN, INFO or DEBUG")
+    public val level: LogLevel = LogLevel.INFO,
+)
+
+/** Form of log lines. */
+public enum class LogFormat { TEXT, JSON }
+
+/** Severity of log lines. */
+public enum class LogLevel { ERROR, WARN, INFO, DEBUG }
+
+/** What the report on service-level burn measures. */
+@Serializable
+public data class ReportSettings(
+    @Setting("Service-level objectives; the first that matches a job counts it")
+    public val objectives: List<ObjectiveSettings> = emptyList(),
+)
+
+/** Share of the jobs of a caller and kind that complete within a latency. An empty [caller] or [kind] matches any. */
+@Serializable
+public data class ObjectiveSettings(
+    @Setting("Caller whose jobs are counted; empty: any")
+    public val caller: String = "",
+    @Setting("Kind of the jobs that are counted; empty: any")
+    public val kind: String = "",
+    @Setting("Share of jobs that complete in time", min = 0.5, max = 0.99999)
+    public val share: Double = 0.99,
+    @Setting("Latency within which a job counts as complete in time", min = 1.0)
+    public val latencyMs: Long = 1_000,
+)
--- /dev/null
+++ b/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
@@ -0,0 +1,95 @@
+package medlarroute.core
+
+/** Finds values that are valid each for itself but do not fit together. */
+internal class SettingsContradictions(private val settings: Settings, private val places: SettingsPlaces) {
+    private val findings = ArrayList<Finding>()
+
+    fun find(): List<Finding> {
+        checkNames()
+        checkPorts()
+        checkTls()
+        checkTimes()
+        checkSizes()
+        checkObjectives()
+        return findings
+    }
+
+    /** Dot and slash separate the parts of a ticket. */
+    private fun checkNames() {
+        val instance = settings.instance
+        expect(NAME.matches(instance.id), "instance.id", "must consist of $NAME_RULE, found `${instance.id}`")
+        val domain = instance.failureDomain
+        expect(NAME.matches(domain), "instance.failureDomain", "must consist of $NAME_RULE, found `$domain`")
+        val slotFits = instance.quotaSlot < instance.instancesInFailureDomain
+        val slots = instance.instancesInFailureDomain
+        expect(slotFits, "instance.quotaSlot", "must be below instance.instancesInFailureDomain, which is $slots")
+        val engineDomain = settings.engine.failureDomain
+        val sameDomain = !places.isSet("engine.failureDomain") || engineDomain == domain
+        expect(sameDomain, "engine.failureDomain", "differs from instance.failureDomain, which is `$domain`")
+    }
+
+    private fun checkPorts() {
+        val ports = listOf(
+            Triple("callers.port", settings.callers.host, settings.callers.port),
+            Triple("operators.port", settings.operators.host, settings.operators.port),
+            Triple("peers.port", settings.peers.host, settings.peers.port),
+        )
+        ports.forEachIndexed { i, (path, host, port) ->
+            val earlier = ports.take(i).firstOrNull { port != 0 && it.third == port && overlap(it.second, host) }
+            expect(earlier == null, path, "is $port like ${earlier?.first}")
+        }
+    }
+
+    private fun overlap(a: String, b: String) = a == b || a in anyAddress || b in anyAddress
+
+    private fun checkTls() {
+        val tls = settings.callers.tls
+        val isHalfSet = tls.certificateFile.isEmpty() != tls.keyFile.isEmpty()
+        val missing = if (tls.keyFile.isEmpty()) "keyFile" else "certificateFile"
+        expect(!isHalfSet, "callers.tls.$missing", "must be set too, as TLS needs a certificate and its key")
+    }
+
+    private fun checkTimes() {
+        val engine = settings.engine
+        val peers = settings.peers
+        val backends = settings.backends
+        atLeast("drain.limitMs", settings.drain.limitMs, "engine.maxTimeoutMs", engine.maxTimeoutMs)
+        atLeast("engine.maxTimeoutMs", engine.maxTimeoutMs, "engine.defaultTimeoutMs", engine.defaultTimeoutMs)
+        atLeast("registry.retentionMs", settings.registry.retentionMs, "engine.maxTimeoutMs", engine.maxTimeoutMs)
+        val twoHeartbeatsMs = 2 * peers.heartbeatIntervalMs
+        atLeast("peers.deadAfterMs", peers.deadAfterMs, "twice peers.heartbeatIntervalMs", twoHeartbeatsMs)
+        atLeast("backends.silentAfterMs", backends.silentAfterMs, "backends.pingIntervalMs", backends.pingIntervalMs)
+    }
+
+    private fun checkSizes() {
+        val callers = settings.callers
+        val maxPayloadBytes = callers.maxPayloadBytes.toLong()
+        atLeast("callers.maxBodyBytes", callers.maxBodyBytes, "callers.maxPayloadBytes", maxPayloadBytes)
+        val engine = settings.engine
+        val maxOpenJobs = engine.maxOpenJobs.toLong()
+        val perCaller = engine.maxOpenJobsPerCaller.toLong()
+        atLeast("engine.maxOpenJobs", maxOpenJobs, "engine.maxOpenJobsPerCaller", perCaller)
+    }
+
+    private fun checkObjectives() {
+        val pairs = settings.report.objectives.map { it.caller to it.kind }
+        pairs.forEachIndexed { i, (caller, kind) ->
+            val path = "report.objectives"
+            val isFirst = pairs.indexOf(caller to kind) == i
+            expect(isFirst, path, "entry ${i + 1} repeats the pair of caller `$caller` and kind `$kind`")
+        }
+    }
+
+    private fun atLeast(path: String, value: Long, otherPath: String, other: Long) =
+        expect(value >= other, path, "is $value, must be at least $otherPath, which is $other")
+
+    private fun expect(isRight: Boolean, path: String, message: String) {
+        if (!isRight) findings += places.finding(path, message)
+    }
+
+    private companion object {
+        val NAME = Regex("[A-Za-z0-9_-]{1,64}")
+        const val NAME_RULE = "1 to 64 letters, digits, `-` and `_`"
+        val anyAddress = setOf("0.0.0.0", "::")
+    }
+}
--- a/core/src/main/kotlin/medlarroute/core/SubmissionRegistry.kt
+++ b/core/src/main/kotlin/medlarroute/core/SubmissionRegistry.kt
@@ -15,9 +15,13 @@
  */
 @Serializable
 public data class RegistrySettings(
+    @Setting("Sequences of a ticket whose records are kept", min = 1.0)
     public val windowSequences: Int = 1_000,
+    @Setting("Time for which an unused ticket is kept", min = 1000.0)
     public val retentionMs: Long = 900_000,
+    @Setting("Tickets kept at once", min = 1.0)
     public val maxTickets: Int = 10_000,
+    @Setting("Memory for recorded answers; the oldest are dropped first", min = 1024.0)
     public val answerBudgetBytes: Long = 33_554_432,
 )
 
