--- a/core/src/main/kotlin/medlarroute/core/RulesPrinter.kt
+++ b/core/src/main/kotlin/medlarroute/core/RulesPrinter.kt
@@ -27,19 +27,23 @@
     internal fun canonical(document: RulesDocument): List<RuleLine> {
         val (routes, others) = document.lines.partition { it.rule is Rule.Routing }
         val sorted = others.sortedWith(compareBy({ section(it.rule) }, { rule(it.rule) }))
-        return sorted.filter { section(it.rule) < ROUTES } + routes + sorted.filter { section(it.rule) > ROUTES }
+        val (before, after) = sorted.partition { section(it.rule) < Section.ROUTE }
+        return before + routes + after
     }
 
-    private fun section(rule: Rule): Int =
+    /** Order of the rules in the canonical form. */
+    private enum class Section { TEAM, QUOTA, OPEN_JOBS, TIMEOUT, LENGTH, ROUTE, DRAIN, BLOCK }
+
+    private fun section(rule: Rule): Section =
         when (rule) {
-            is Rule.Team -> 0
-            is Rule.Quota -> 1
-            is Rule.OpenJobs -> 2
-            is Rule.MaxTimeout -> 3
-            is Rule.Length -> 4
-            is Rule.Routing -> ROUTES
-            is Rule.Drain -> 6
-            is Rule.Block -> 7
+            is Rule.Team -> Section.TEAM
+            is Rule.Quota -> Section.QUOTA
+            is Rule.OpenJobs -> Section.OPEN_JOBS
+            is Rule.MaxTimeout -> Section.TIMEOUT
+            is Rule.Length -> Section.LENGTH
+            is Rule.Routing -> Section.ROUTE
+            is Rule.Drain -> Section.DRAIN
+            is Rule.Block -> Section.BLOCK
         }
 
     private fun route(route: Route): String {
@@ -55,6 +59,5 @@
         return if (timeoutMs % MS_PER_SECOND == 0L) "${timeoutMs / MS_PER_SECOND}s" else "${timeoutMs}ms"
     }
 
-    private const val ROUTES = 5
     private const val MS_PER_SECOND = 1_000
 }
