--- a/cli/src/main/kotlin/medlarroute/cli/Main.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -1,5 +1,22 @@
 package medlarroute.cli
 
-fun main(args: Array<String>) {
-    println("medlarroute ${args.joinToString(" ")}")
+import kotlin.system.exitProcess
+
+/**
+ * All commands of the binary, in the order of the help text. A command of another module takes one line:
+ * `ExternalCommand("load", "Generates load", cli, LoadMain::run)`.
+ */
+internal fun commands(cli: Cli): List<CliCommand> =
+    listOf(
+        JobCommands(cli),
+        RulesCommands(cli),
+        SettingsCommands(cli),
+        VersionCommand(cli),
+    )
+
+/** Runs one command and exits with its [ExitCode]. */
+public fun main(args: Array<String>) {
+    val code = Cli(System.out, System.err, ::commands).run(args.toList())
+    System.out.flush()
+    exitProcess(code)
 }
--- /dev/null
+++ b/cli/src/main/kotlin/medlarroute/cli/SettingsCheckCommand.kt
@@ -0,0 +1,15 @@
+package medlarroute.cli
+
+import kotlinx.cli.ArgType
+import medlarroute.core.SettingsReader
+
+/** Reports all faults of a settings file. */
+internal class SettingsCheckCommand(cli: Cli) : Command("check", "Checks a settings file", cli) {
+    private val file by argument(ArgType.String, description = "settings file")
+
+    override fun run(): Int {
+        SettingsReader.read(readText(file), file).orFail()
+        cli.printLine("$file: no findings")
+        return ExitCode.SUCCESS
+    }
+}
--- /dev/null
+++ b/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
@@ -0,0 +1,164 @@
+package medlarroute.cli
+
+import com.sun.net.httpserver.HttpServer
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+import java.net.InetSocketAddress
+import java.nio.file.Files
+import java.nio.file.Path
+
+class CliTest {
+    @TempDir
+    private lateinit var directory: Path
+
+    private val out = ByteArrayOutputStream()
+    private val err = ByteArrayOutputStream()
+    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
+    private val url get() = "http://127.0.0.1:${server.address.port}"
+
+    private fun run(vararg args: String) = Cli(PrintStream(out), PrintStream(err), ::commands).run(args.toList())
+
+    private fun file(name: String, text: String) = directory.resolve(name).also {
+        Files.writeString(it, text)
+    }.toString()
+
+    /** Serves [path] with the status and body that [reply] makes of the method and the request body. */
+    private fun serve(path: String, reply: (String, String) -> Pair<Int, String>) {
+        server.createContext(path) { exchange ->
+            val request = exchange.requestBody.readBytes().decodeToString()
+            val (status, body) = reply(exchange.requestMethod, request)
+            val bytes = body.encodeToByteArray()
+            exchange.sendResponseHeaders(status, bytes.size.toLong())
+            exchange.responseBody.use { it.write(bytes) }
+        }
+    }
+
+    @AfterEach
+    fun stop() {
+        server.stop(0)
+    }
+
+    @Test
+    fun `wrong arguments exit with 2 and help with 0`() {
+        run("nonsense") shouldBe ExitCode.BAD_INPUT
+        run("settings", "nonsense") shouldBe ExitCode.BAD_INPUT
+        run("rules") shouldBe ExitCode.BAD_INPUT
+        run() shouldBe ExitCode.BAD_INPUT
+        run("rules", "diff", "--nonsense") shouldBe ExitCode.BAD_INPUT
+        run("--help") shouldBe ExitCode.SUCCESS
+        run("rules", "apply", "--help") shouldBe ExitCode.SUCCESS
+    }
+
+    @Test
+    fun `all findings are printed with file, line and column and exit with 2`() {
+        val name = file("s.yaml", "peers:\n  fanOut: 0\n  port: x\n")
+        run("settings", "check", name) shouldBe ExitCode.BAD_INPUT
+        err.toString() shouldBe """
+            $name:2:11: peers.fanOut: must be at least 1, found 0
+            $name:3:9: peers.port: expected a whole number, found `x`
+
+        """.trimIndent()
+    }
+
+    @Test
+    fun `the defaults that are shown pass the check`() {
+        run("settings", "show", "--defaults") shouldBe ExitCode.SUCCESS
+        run("settings", "check", file("s.yaml", out.toString())) shouldBe ExitCode.SUCCESS
+    }
+
+    @Test
+    fun `a service that is not reachable exits with 3`() {
+        server.stop(0)
+        run("rules", "get", "--url", "http://127.0.0.1:1") shouldBe ExitCode.NOT_REACHABLE
+        run("job", "submit", "--url", "http://127.0.0.1:1", "--kind", "k", "--task", "a") shouldBe
+            ExitCode.NOT_REACHABLE
+    }
+
+    @Test
+    fun `rules that someone else changed since the base version are not overwritten`() {
+        var puts = 0
+        server.start()
+        serve("/v1/rules") { method, _ ->
+            if (method == "PUT") puts++
+            200 to """{"version":8,"text":"quota a 2/s # Omar\n"}"""
+        }
+        val mine = file("r.txt", "# base version 7\nquota a 3/s # Jane\n")
+        run("rules", "apply", "--url", url, mine) shouldBe ExitCode.NEGATIVE
+        puts shouldBe 0
+        out.toString() shouldBe "- quota a 2/s  # Omar\n+ quota a 3/s  # Jane\n"
+    }
+
+    @Test
+    fun `a write that loses the race shows the winner's change`() {
+        server.start()
+        serve("/v1/rules") { method, _ ->
+            if (method == "GET") {
+                200 to """{"version":7,"text":"quota a 1/s # Jane\n"}"""
+            } else {
+                409 to """{"version":8,"text":"quota a 2/s # Omar\n"}"""
+            }
+        }
+        run("rules", "apply", "--url", url, "--base", "7", file("r.txt", "quota a 3/s # Jane\n")) shouldBe
+            ExitCode.NEGATIVE
+        out.toString() shouldContain "- quota a 2/s  # Omar\n+ quota a 3/s  # Jane\n"
+        err.toString() shouldContain "version 8 is in force"
+    }
+
+    @Test
+    fun `an accepted file is sent without its base line, which then names the new version`() {
+        var sent = ""
+        server.start()
+        serve("/v1/rules") { method, body ->
+            if (method == "PUT") sent = body
+            200 to """{"version":${if (method == "PUT") 8 else 7},"text":""}"""
+        }
+        val name = file("r.txt", "# base version 7\nquota a 3/s # Jane\n")
+        run("rules", "apply", "--url", url, name) shouldBe ExitCode.SUCCESS
+        sent shouldContain """"text":"quota a 3/s # Jane\n","expectedVersion":7"""
+        Files.readString(Path.of(name)) shouldBe "# base version 8\nquota a 3/s # Jane\n"
+    }
+
+    @Test
+    fun `a write whose reply is lost is accepted if the rules in force are its own`() {
+        server.start()
+        var isWritten = false
+        server.createContext("/v1/rules") { exchange ->
+            if (exchange.requestMethod == "PUT") {
+                isWritten = true
+                exchange.close()
+                return@createContext
+            }
+            val version = if (isWritten) 8 else 7
+            val text = if (isWritten) "quota a 3/s # Jane\\n" else ""
+            val body = """{"version":$version,"text":"$text"}""".encodeToByteArray()
+            exchange.sendResponseHeaders(200, body.size.toLong())
+            exchange.responseBody.use { it.write(body) }
+        }
+        val name = file("r.txt", "# base version 7\nquota a 3/s # Jane\n")
+        run("rules", "apply", "--url", url, name) shouldBe ExitCode.SUCCESS
+        out.toString() shouldContain "accepted as version 8"
+    }
+
+    @Test
+    fun `the exit code of a job tells complete, failed and malformed apart`() {
+        server.start()
+        serve("/v1/tickets") { _, _ -> 201 to """{"ticket":"n.e.1.1","retentionMs":1,"windowSequences":1}""" }
+        val replies = ArrayDeque(
+            listOf(
+                200 to """{"status":"complete"}""",
+                502 to """{"status":"failed","code":"TASK_LOST"}""",
+                400 to """{"status":"refused"}""",
+            ),
+        )
+        serve("/v1/jobs") { _, _ -> replies.removeFirst() }
+        val submit = arrayOf("job", "submit", "--url", url, "--kind", "check", "--task", "a", "--task", "b")
+        run(*submit) shouldBe ExitCode.SUCCESS
+        run(*submit) shouldBe ExitCode.NEGATIVE
+        run(*submit) shouldBe ExitCode.BAD_INPUT
+    }
+}
