--- a/core/src/main/kotlin/medlarroute/core/JobObserver.kt
+++ b/core/src/main/kotlin/medlarroute/core/JobObserver.kt
@@ -3,7 +3,19 @@
 import kotlin.time.Duration
 
 /** How a job ended, without its content. */
-public enum class JobResult { COMPLETE, FAILED, REFUSED }
+public enum class JobResult {
+    /** All tasks are done. */
+    COMPLETE,
+
+    /** The job may have run and has no complete answer. */
+    FAILED,
+
+    /** The system could not take the job. */
+    REFUSED,
+
+    /** The caller cancelled the job, or sent one that breaks a rule or a limit. */
+    CALLER_CAUSED,
+}
 
 /**
  * A job that was answered by its home.
@@ -24,9 +36,15 @@
         private fun resultOf(answer: Answer): JobResult =
             when (answer) {
                 is Answer.Complete -> JobResult.COMPLETE
-                is Answer.Failed -> JobResult.FAILED
-                is Answer.Refused -> JobResult.REFUSED
+
+                is Answer.Failed ->
+                    if (answer.code == FailureCode.CANCELLED) JobResult.CALLER_CAUSED else JobResult.FAILED
+
+                is Answer.Refused ->
+                    if (answer.findings.any { it.code in systemCodes }) JobResult.REFUSED else JobResult.CALLER_CAUSED
             }
+
+        private val systemCodes = setOf(RefusalCode.OVERLOAD, RefusalCode.DRAINING, RefusalCode.NO_RULES)
     }
 }
 
