--- a/cli/src/main/kotlin/medlarroute/cli/Main.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -11,6 +11,7 @@
         JobCommands(cli),
         RulesCommands(cli),
         SettingsCommands(cli),
+        ReportCommands(cli),
         VersionCommand(cli),
     )
 
--- a/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
+++ b/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
@@ -3,6 +3,16 @@
 import com.sun.net.httpserver.HttpServer
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import kotlinx.serialization.json.Json
+import medlarroute.core.BurnMeter
+import medlarroute.core.BurnReport
+import medlarroute.core.CallerId
+import medlarroute.core.Incarnation
+import medlarroute.core.InstanceId
+import medlarroute.core.JobOutcome
+import medlarroute.core.JobResult
+import medlarroute.core.KindId
+import medlarroute.core.ObjectiveSettings
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
@@ -11,6 +21,7 @@
 import java.net.InetSocketAddress
 import java.nio.file.Files
 import java.nio.file.Path
+import kotlin.time.Duration
 
 class CliTest {
     @TempDir
@@ -161,4 +172,23 @@
         run(*submit) shouldBe ExitCode.NEGATIVE
         run(*submit) shouldBe ExitCode.BAD_INPUT
     }
+
+    @Test
+    fun `the burn report merges instances and names those that can't be reached`() {
+        server.start()
+        val meter = BurnMeter(listOf(ObjectiveSettings(caller = "<a>")), InstanceId("e1"), Incarnation(1))
+        meter.answered(JobOutcome(CallerId("<a>"), KindId("k"), Duration.ZERO, JobResult.FAILED))
+        serve("/v1/report/burn") { _, _ -> 200 to Json.encodeToString(meter.snapshot()) }
+        run("report", "burn", "--instances", url) shouldBe ExitCode.NEGATIVE
+        out.toString() shouldContain "caller <a>, kind any: 99% within 1000 ms: FAST_BURN"
+        out.reset()
+        run("report", "burn", "--instances", "$url,http://127.0.0.1:1", "--format", "json") shouldBe
+            ExitCode.NOT_REACHABLE
+        Json.decodeFromString<BurnReport>(out.toString()).unreachable.single().url shouldBe "http://127.0.0.1:1"
+        out.reset()
+        run("report", "burn", "--instances", "$url,http://127.0.0.1:1", "--format", "html")
+        out.toString() shouldContain "<svg"
+        out.toString() shouldContain "Missing: http://127.0.0.1:1"
+        out.toString() shouldContain "&lt;a&gt;"
+    }
 }
