--- a/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
+++ b/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
@@ -13,7 +13,7 @@
  */
 @Serializable
 public data class EngineSettings(
-    @Setting("Failure domain of the engine; taken from the instance section")
+    @Setting("")
     public val failureDomain: String = "local",
     @Setting("Most tasks of one job", min = 1.0)
     public val maxTasksPerJob: Int = 110,
--- a/core/src/main/kotlin/medlarroute/core/SettingsReference.kt
+++ b/core/src/main/kotlin/medlarroute/core/SettingsReference.kt
@@ -29,6 +29,7 @@
         for (index in 0 until descriptor.elementsCount) {
             val name = descriptor.getElementName(index)
             val setting = descriptor.getElementAnnotations(index).filterIsInstance<Setting>().firstOrNull()
+            if (setting?.text?.isEmpty() == true) continue
             setting?.let { lines += "$indent# ${comment(it)}" }
             field(name, node.get<YamlNode>(name), descriptor.getElementDescriptor(index), indent, lines)
         }
