--- a/server/src/main/kotlin/medlarroute/server/Metrics.kt
+++ b/server/src/main/kotlin/medlarroute/server/Metrics.kt
@@ -17,7 +17,7 @@
 
 /** Metrics of one entry instance; `docs/metrics.md` lists them. Thread-safe. */
 internal class Metrics :
-    JobObserver,
+    JobRecorder,
     BackendObserver,
     EngineLoop.TickObserver,
     AutoCloseable {
