--- a/cli/src/main/kotlin/medlarroute/cli/HttpApi.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/HttpApi.kt
@@ -47,7 +47,8 @@
     private fun noReply(e: IOException): NoReply {
         val isSent = e !is ConnectException && e !is HttpConnectTimeoutException
         val what = if (isSent) "no reply from $baseUrl" else "$baseUrl can't be reached"
-        return NoReply(isSent, "$what: ${e.message ?: e.javaClass.simpleName}", e)
+        val reason = e.message ?: if (e is ConnectException) "no connection" else e.javaClass.simpleName
+        return NoReply(isSent, "$what: $reason", e)
     }
 
     private fun request(method: String, path: String, body: String, headers: Map<String, String>, timeout: Duration) =
--- a/cli/src/main/kotlin/medlarroute/cli/RulesApplyCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/RulesApplyCommand.kt
@@ -8,7 +8,6 @@
 import medlarroute.core.RulesReader
 import java.nio.file.Files
 import java.nio.file.Path
-import java.util.UUID
 
 /**
  * Puts a rules file in force, unless someone else has changed the rules since the version that the edit started from.
@@ -44,7 +43,7 @@
     }
 
     private fun put(api: HttpApi, baseVersion: Long, text: String, document: RulesDocument): Int {
-        val request = PutRequest(text, baseVersion, UUID.randomUUID().toString())
+        val request = PutRequest(text, baseVersion)
         val reply = try {
             api.send("PUT", "/v1/rules", HttpApi.json.encodeToString(PutRequest.serializer(), request))
         } catch (e: NoReply) {
@@ -53,11 +52,17 @@
         return when (reply.status) {
             OK -> accepted(decodeReply<PutReply>(reply).version)
             CONFLICT -> conflict(baseVersion, decodeReply(reply), document)
-            in CLIENT_ERRORS -> throw CliFailure(ExitCode.BAD_INPUT, reply.body)
-            else -> throw CliFailure(ExitCode.NOT_REACHABLE, "status ${reply.status}: ${reply.body}")
+            else -> throw notApplied(reply)
         }
     }
 
+    private fun notApplied(reply: HttpReply): CliFailure =
+        when (reply.status) {
+            in CLIENT_ERRORS -> CliFailure(ExitCode.BAD_INPUT, reply.body)
+            GATEWAY_TIMEOUT -> CliFailure(ExitCode.NOT_REACHABLE, "$UNKNOWN_OUTCOME: ${reply.body}")
+            else -> CliFailure(ExitCode.NOT_REACHABLE, "status ${reply.status}: ${reply.body}")
+        }
+
     private fun accepted(version: Long): Int {
         cli.printLine("accepted as version $version")
         val text = readText(file)
@@ -72,7 +77,7 @@
         val current = rulesInForce(api)
         if (current.version == baseVersion + 1 && current.text == text) return accepted(current.version)
         val state = "version ${current.version} is in force now, look again with `rules diff $file`"
-        throw cause.asFailure("\nthe outcome is not known: $state")
+        throw cause.asFailure("\n$UNKNOWN_OUTCOME: $state")
     }
 
     private fun conflict(baseVersion: Long, winner: RulesInForce, document: RulesDocument): Int {
@@ -84,13 +89,15 @@
     }
 
     @Serializable
-    private data class PutRequest(val text: String, val expectedVersion: Long, val nonce: String)
+    private data class PutRequest(val text: String, val expectedVersion: Long)
 
     @Serializable
     private data class PutReply(val version: Long)
 
     private companion object {
         const val CONFLICT = 409
+        const val GATEWAY_TIMEOUT = 504
+        const val UNKNOWN_OUTCOME = "the outcome is not known"
         val CLIENT_ERRORS = 400..499
     }
 }
--- a/cli/src/main/kotlin/medlarroute/cli/RulesCommands.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/RulesCommands.kt
@@ -39,6 +39,7 @@
     protected fun rulesInForce(api: HttpApi): RulesInForce {
         val reply = sendOrFail { api.send("GET", "/v1/rules") }
         if (reply.status == OK) return decodeReply(reply)
+        if (reply.status == NOT_FOUND) return RulesInForce(0, "")
         throw CliFailure(ExitCode.NOT_REACHABLE, "status ${reply.status}: ${reply.body.take(MAX_SHOWN_CHARS)}")
     }
 
@@ -53,6 +54,7 @@
     protected companion object {
         const val DEFAULT_URL: String = "http://127.0.0.1:8081"
         const val OK: Int = 200
+        const val NOT_FOUND: Int = 404
     }
 }
 
--- a/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
+++ b/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
@@ -191,4 +191,16 @@
         out.toString() shouldContain "Missing: http://127.0.0.1:1"
         out.toString() shouldContain "&lt;a&gt;"
     }
+
+    @Test
+    fun `an unreachable instance or another version makes the status negative`() {
+        server.start()
+        val same = """{"instance":"e1","failureDomain":"n","version":3,"reachable":true,"sinceContactMs":0}"""
+        val lost = """{"instance":"e2","failureDomain":"s","version":3,"reachable":false,"sinceContactMs":7000}"""
+        val replies = ArrayDeque(listOf("""{"instances":[$same]}""", """{"instances":[$same,$lost]}"""))
+        serve("/v1/rules/status") { _, _ -> 200 to replies.removeFirst() }
+        run("rules", "status", "--url", url) shouldBe ExitCode.SUCCESS
+        run("rules", "status", "--url", url) shouldBe ExitCode.NEGATIVE
+        out.toString() shouldContain "s/e2: version 3, unreachable, last contact 7s ago"
+    }
 }
--- a/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
+++ b/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
@@ -11,7 +11,7 @@
         checkTimes()
         checkSizes()
         checkObjectives()
-        return findings
+        return findings.sortedWith(compareBy({ it.line }, { it.column }))
     }
 
     /** Dot and slash separate the parts of a ticket. */
