--- a/cli/src/main/kotlin/medlarroute/cli/Main.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -8,6 +8,7 @@
  */
 internal fun commands(cli: Cli): List<CliCommand> =
     listOf(
+        ServeCommand(cli),
         JobCommands(cli),
         RulesCommands(cli),
         SettingsCommands(cli),
--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -58,17 +58,23 @@
     public val tls: TlsSettings = TlsSettings(),
 )
 
-/** TLS on a port. Both files are set, or neither; without them the port speaks plain text. */
+/**
+ * TLS on the port for callers; off if nothing is set. Either both PEM files or both key store files are set.
+ *
+ * @property keyStoreFile key store in JKS or PKCS #12 format.
+ * @property keyStorePasswordFile file that holds the password of the key store and of its key.
+ */
 @Serializable
 public data class TlsSettings(
-    @Setting("PEM file with the chain of certificates; empty: plain text")
+    @Setting("PEM file with the chain of certificates; nothing set: no TLS")
     public val certificateFile: String = "",
-    @Setting("PEM file with the private key that belongs to the certificate; empty: plain text")
-    public val keyFile: String = "",
-) {
-    /** Whether the port speaks TLS. */
-    public val isEnabled: Boolean get() = certificateFile.isNotEmpty()
-}
+    @Setting("PEM file with the private key that belongs to the certificate")
+    public val privateKeyFile: String = "",
+    @Setting("Key store in JKS or PKCS #12 format, instead of PEM files")
+    public val keyStoreFile: String = "",
+    @Setting("File that holds the password of the key store and of its key")
+    public val keyStorePasswordFile: String = "",
+)
 
 /** Port for operators. */
 @Serializable
@@ -136,7 +142,9 @@
     public val silentAfterMs: Long = 3_000,
     @Setting("Age of a decision beyond which a start is not sent any more", min = 1.0)
     public val maxDecisionAgeMs: Long = 500,
+    @Setting("Longest lease asked for at once; longer tasks have theirs renewed", min = 100.0)
     public val leaseMs: Long = 5_000,
+    @Setting("Threads that exchange messages with backend servers", min = 1.0, max = 64.0)
     public val threads: Int = 2,
 )
 
--- a/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
+++ b/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
@@ -44,9 +44,16 @@
 
     private fun checkTls() {
         val tls = settings.callers.tls
-        val isHalfSet = tls.certificateFile.isEmpty() != tls.keyFile.isEmpty()
-        val missing = if (tls.keyFile.isEmpty()) "keyFile" else "certificateFile"
-        expect(!isHalfSet, "callers.tls.$missing", "must be set too, as TLS needs a certificate and its key")
+        both("certificateFile", tls.certificateFile, "privateKeyFile", tls.privateKeyFile)
+        both("keyStoreFile", tls.keyStoreFile, "keyStorePasswordFile", tls.keyStorePasswordFile)
+        val isDouble = tls.certificateFile.isNotEmpty() && tls.keyStoreFile.isNotEmpty()
+        expect(!isDouble, "callers.tls.keyStoreFile", "excludes callers.tls.certificateFile")
+    }
+
+    private fun both(name: String, value: String, otherName: String, other: String) {
+        val missing = if (value.isEmpty()) name else otherName
+        val present = if (value.isEmpty()) otherName else name
+        expect(value.isEmpty() == other.isEmpty(), "callers.tls.$missing", "must be set too, as $present is set")
     }
 
     private fun checkTimes() {
