--- a/core/src/test/kotlin/medlarroute/core/RulesReaderTest.kt
+++ b/core/src/test/kotlin/medlarroute/core/RulesReaderTest.kt
@@ -113,6 +113,18 @@
         checkAll(PropTestConfig(seed = 5, iterations = 500), mutated(text)) { RulesReader.document(it) }
     }
 
+    @Test
+    fun `whatever the reader accepts reads back from its printed form`() = runBlocking<Unit> {
+        checkAll(PropTestConfig(seed = 6, iterations = 2_000), mutated(text)) { mutant ->
+            val document = RulesReader.document(mutant).getOrNull()
+            if (document != null) {
+                val again = RulesReader.document(RulesPrinter.print(document)).getOrNull()
+                again?.toRules(1) shouldBe document.toRules(1)
+                again?.let { RulesDiff.between(document, it).isEmpty } shouldBe true
+            }
+        }
+    }
+
     @Test
     fun `a text that is too long is refused without being parsed`() {
         findings("#".repeat(RulesReader.MAX_CHARS + 1)).size shouldBe 1
