--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -148,11 +148,20 @@
     public val threads: Int = 2,
 )
 
-/** How a stopping instance ends. [limitMs] is at least the longest timeout of a job, so that no request is cut. */
+/**
+ * How a stopping instance ends.
+ *
+ * @property limitMs time for running jobs and open requests to end; at least the longest timeout of a job, so that no
+ *   request is cut.
+ * @property settleMs time for which requests are still taken after the readiness check fails, so that the load balancer
+ *   can notice.
+ */
 @Serializable
 public data class DrainSettings(
     @Setting("Longest time for which a stopping instance waits for running jobs", min = 1.0)
     public val limitMs: Long = 65_000,
+    @Setting("Time for which requests are still taken after the readiness check fails", min = 0.0)
+    public val settleMs: Long = 1_000,
 )
 
 /** How log lines are written to standard output. */
--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -69,14 +69,29 @@
         val attempt = Attempt(start)
         attempts[start.task] = attempt
         observer.started()
-        Clients.newContextCaptor().use { captor ->
-            val response = client.execute(startRequest(start), responseTimeout(start.lease + REPLY_MARGIN))
-            captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
-                log.channel()?.let { onEventLoop { connected(attempt, BackendConnection.of(it, ::goAwayReceived)) } }
-            }
-            response.aggregate().handle { reply, cause -> onEventLoop { ended(attempt, reply, cause) } }
+        guard(attempt) {
+            send(attempt)
+            if (start.lease > settings.leaseMs.milliseconds) scheduleRenewal(attempt)
+        }
+    }
+
+    private fun send(attempt: Attempt): Unit = Clients.newContextCaptor().use { captor ->
+        val start = attempt.start
+        val response = client.execute(startRequest(start), responseTimeout(start.lease + REPLY_MARGIN))
+        captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
+            log.channel()?.let { onEventLoop { connected(attempt, BackendConnection.of(it, ::goAwayReceived)) } }
+        }
+        response.aggregate().handle { reply, cause -> onEventLoop { guard(attempt) { ended(attempt, reply, cause) } } }
+    }
+
+    /** An unexpected error proves nothing about the task, so it is lost; without a report it would stay open. */
+    private fun guard(attempt: Attempt, action: () -> Unit) {
+        try {
+            action()
+        } catch (e: RuntimeException) {
+            log.error("backend: {} failed on {}", attempt.start.task, address.id, e)
+            lost(attempt, "internal error: $e")
         }
-        if (start.lease > settings.leaseMs.milliseconds) scheduleRenewal(attempt)
     }
 
     private fun startRequest(start: Effect.Start): HttpRequest {
@@ -139,10 +154,11 @@
 
     private fun replied(attempt: Attempt, reply: AggregatedHttpResponse) {
         val usage = usageOf(reply)
-        val isLeaving = reply.headers().get(BACKEND_STATE) == LEAVING
-        if (isLeaving) markLeaving() else leaving = false
+        noteState(reply)
+        // An id that was used before belongs to a task that may have run, although this request started nothing.
+        if (reply.status() == HttpStatus.CONFLICT) return lost(attempt, "the backend server has seen the task before")
         if (reply.headers().get(TASK_STARTED) == NO) {
-            val reason = if (isLeaving) NotStartedReason.LEAVING else NotStartedReason.BUSY
+            val reason = if (leaving) NotStartedReason.LEAVING else NotStartedReason.BUSY
             return finish(attempt) { notStarted(it, reason, usage) }
         }
         val message = messageOf(reply)
@@ -154,6 +170,13 @@
         }
     }
 
+    private fun noteState(reply: AggregatedHttpResponse) {
+        val isLeaving = reply.headers().get(BACKEND_STATE) == LEAVING
+        if (isLeaving) markLeaving() else leaving = false
+        val incarnation = reply.headers().getLong(BACKEND_INCARNATION) ?: return
+        observer.replied(BackendReply(address.id, incarnation, isLeaving))
+    }
+
     /** Asks for the state of a task whose reply is missing. Uses a new connection if the old one is closed. */
     private fun query(attempt: Attempt, delay: Duration) {
         if (attempts[attempt.start.task] !== attempt) return
@@ -162,12 +185,13 @@
         val request = RequestHeaders.of(HttpMethod.GET, taskPath(attempt.start.task))
         client.execute(HttpRequest.of(request), responseTimeout(settings.silentAfterMs.milliseconds))
             .aggregate()
-            .handle { reply, cause -> onEventLoop { queried(attempt, delay, reply, cause) } }
+            .handle { reply, cause -> onEventLoop { guard(attempt) { queried(attempt, delay, reply, cause) } } }
     }
 
     private fun queried(attempt: Attempt, delay: Duration, reply: AggregatedHttpResponse?, cause: Throwable?) {
         val task = attempt.start.task
-        if (reply == null) return lost(attempt, "no reply, and no task state: ${Exceptions.peel(cause!!).message}")
+        if (reply == null) return lost(attempt, "no reply, and no task state: ${Exceptions.peel(cause!!)}")
+        noteState(reply)
         if (reply.status() == HttpStatus.NOT_FOUND) return lost(attempt, "no reply, and the task is not known")
         val message = messageOf(reply)
         when (message?.state) {
@@ -189,7 +213,7 @@
     }
 
     private fun done(task: TaskId, message: TaskMessage, usage: BackendUsage?): Input =
-        Input.TaskDone(task, message.output, message.runMs.milliseconds, usage)
+        Input.TaskDone(task, message.output, message.runMs.coerceAtLeast(0.0).milliseconds, usage)
 
     private fun lost(attempt: Attempt, message: String): Unit =
         finish(attempt) { sink.offer(Input.TaskLost(it, message)) }
@@ -253,6 +277,7 @@
         const val BACKEND_STATE = "backend-state"
         const val BUSY_SLOTS = "busy-slots"
         const val SLOTS = "slots"
+        const val BACKEND_INCARNATION = "backend-incarnation"
         const val TASK_STARTED = "task-started"
         const val LEAVING = "leaving"
         const val NO = "no"
