--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -21,6 +21,7 @@
  *
  * @property quotaSlot number of this instance among the entry instances of its failure domain, from 0.
  * @property instancesInFailureDomain entry instances that the failure domain has at most.
+ * @property failureDomains failure domains that share the quotas; the same in all instances.
  */
 @Serializable
 public data class InstanceSettings(
@@ -29,6 +30,7 @@
     public val rack: String = "",
     public val quotaSlot: Int = 0,
     public val instancesInFailureDomain: Int = 1,
+    public val failureDomains: Int = 1,
 )
 
 /**
@@ -57,6 +59,9 @@
  *
  * @property fanOut peers that get a heartbeat in each interval.
  * @property deadAfterMs time without contact after which a peer counts as unreachable.
+ * @property heartbeatBytes upper bound of the encoded size of one heartbeat. With 3 peers in each second, 12 messages
+ * of this size, sent and received, and their HTTP/2 frames stay within 4 KB/s.
+ * @property seeds `host:port` of entry instances to contact at the start, for a start while the platform is down.
  */
 @Serializable
 public data class PeerSettings(
@@ -65,12 +70,19 @@
     public val heartbeatIntervalMs: Long = 1_000,
     public val fanOut: Int = 3,
     public val deadAfterMs: Long = 5_000,
+    public val heartbeatBytes: Int = 240,
+    public val connectTimeoutMs: Long = 500,
+    public val pingIntervalMs: Long = 1_000,
+    public val seeds: List<String> = emptyList(),
 )
 
 /**
  * The platform's service.
  *
  * @property url base URL, for example `http://127.0.0.1:7000`; empty: no platform, rules come from the embedding code.
+ * @property timeoutMs time after which the outcome of one request counts as unknown.
+ * @property maxBackoffMs longest wait between two attempts while the platform fails.
+ * @property claimTimeoutMs time after which a claim for an `Idempotency-Key` is given up as unknown.
  */
 @Serializable
 public data class PlatformSettings(
@@ -78,6 +90,8 @@
     public val timeoutMs: Long = 1_000,
     public val listIntervalMs: Long = 2_000,
     public val rulesIntervalMs: Long = 1_000,
+    public val maxBackoffMs: Long = 10_000,
+    public val claimTimeoutMs: Long = 2_000,
 )
 
 /**
