--- /dev/null
+++ b/server/src/main/kotlin/medlarroute/server/PlatformMessages.kt
@@ -0,0 +1,108 @@
+package medlarroute.server
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import medlarroute.core.BackendId
+import medlarroute.core.BackendServer
+import medlarroute.core.EntryMember
+import medlarroute.core.FailureDomainId
+import medlarroute.core.Incarnation
+import medlarroute.core.InstanceId
+import medlarroute.core.InstanceList
+import medlarroute.core.ListedBackend
+
+/** Why a request to the platform did not succeed. */
+internal sealed interface PlatformError {
+    /** The condition of a write did not hold; nothing was written. */
+    data object ConditionFailed : PlatformError
+
+    /** The platform did not answer, and a write has certainly not taken effect: a read, or a write never delivered. */
+    data class Unavailable(val reason: String) : PlatformError
+
+    /** A write was sent and its reply was lost: it may have taken effect, or may still do so. */
+    data class OutcomeUnknown(val reason: String) : PlatformError
+
+    /** The platform refused the request; sending it again does not help. */
+    data class Rejected(val httpStatus: Int, val message: String) : PlatformError
+}
+
+/** What a read found. */
+internal sealed interface Fetched<out T> {
+    /** The value, and the tag that a later conditional read or write names. */
+    data class Present<T>(val value: T, val etag: String) : Fetched<T>
+
+    /** The value still has the tag that the read named. */
+    data object Unchanged : Fetched<Nothing>
+
+    /** There is no value. */
+    data object Absent : Fetched<Nothing>
+}
+
+/** Condition of a write. */
+internal sealed interface WriteCondition {
+    /** The row must not exist. */
+    data object Absent : WriteCondition
+
+    /** The row must still have this tag. */
+    data class Unchanged(val etag: String) : WriteCondition
+}
+
+/** A row to insert in a transaction. */
+internal data class NewRow(val key: String, val value: JsonElement)
+
+/** Body of a transaction: all writes take effect, or none does. */
+@Serializable
+internal data class TransactionBody(val writes: List<TransactionWrite>)
+
+/** One write of a transaction. [ifNoneMatch] is `*`: the row must not exist. */
+@Serializable
+internal data class TransactionWrite(val key: String, val value: JsonElement, val ifNoneMatch: String)
+
+/** Body of the platform's list of instances. */
+@Serializable
+internal data class InstanceListBody(val instances: List<ListedInstance> = emptyList()) {
+    fun toList(): InstanceList = InstanceList(
+        instances.filter { it.role == "entry" }.map { it.toEntry() },
+        instances.filter { it.role == "backend" }.map { it.toBackend() },
+    )
+}
+
+/**
+ * An instance in the platform's list.
+ *
+ * @property port for an entry instance the peers' port, unless [peerPort] is given.
+ * @property incarnation number of the process life; 0 if the platform does not tell it.
+ */
+@Serializable
+internal data class ListedInstance(
+    val id: String,
+    val role: String,
+    val failureDomain: String,
+    val host: String,
+    val port: Int,
+    val state: String = "live",
+    val rack: String = "",
+    val slots: Int = 0,
+    val cores: Int = 0,
+    val accelerators: Int = 0,
+    val incarnation: Long = 0,
+    val peerPort: Int = 0,
+    val operatorsPort: Int = 0,
+) {
+    private val isLeaving: Boolean get() = state == "leaving"
+
+    fun toEntry(): EntryMember = EntryMember(
+        InstanceId(id),
+        FailureDomainId(failureDomain),
+        Incarnation(incarnation),
+        host,
+        if (peerPort > 0) peerPort else port,
+        operatorsPort,
+        isLeaving,
+    )
+
+    fun toBackend(): ListedBackend {
+        val server = BackendServer(BackendId(id), FailureDomainId(failureDomain), slots, rack, cores, accelerators)
+        return ListedBackend(server, host, port, isLeaving, incarnation)
+    }
+}
