Connect entry instances with each other and with the platform

Forwarding, heartbeats, rules versions, hand-over of records, claims of idempotency keys and quota shares, started and stopped by PeerNetwork. Operators read and apply rules through RulesService.

--- a/core/src/main/kotlin/medlarroute/core/Answer.kt
+++ b/core/src/main/kotlin/medlarroute/core/Answer.kt
@@ -1,16 +1,25 @@
 package medlarroute.core
 
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 
 /** The one answer to a submission. There is no partial answer. */
+@Serializable
 public sealed interface Answer {
     /** All tasks are done; [outputs] has one entry for each task, in the order of the job's tasks. */
+    @Serializable
+    @SerialName("complete")
     public data class Complete(public val outputs: List<String>) : Answer
 
     /** The job did not complete, and at least one of its tasks may have run. */
+    @Serializable
+    @SerialName("failed")
     public data class Failed(public val code: FailureCode, public val detail: String) : Answer
 
     /** No task of the job was started, or each start was proved not to have taken place. */
+    @Serializable
+    @SerialName("refused")
     public data class Refused(public val findings: List<Refusal>, public val retryAfter: Duration? = null) : Answer
 }
 
@@ -39,6 +48,7 @@
 }
 
 /** One reason for which a job was refused; [place] points into the request, the rules or the state. */
+@Serializable
 public data class Refusal(public val code: RefusalCode, public val place: String, public val message: String)
 
 /** Why a job was refused. */
--- a/core/src/main/kotlin/medlarroute/core/Membership.kt
+++ b/core/src/main/kotlin/medlarroute/core/Membership.kt
@@ -95,6 +95,11 @@
     /** True if [id] is known to be leaving. */
     public fun isLeaving(id: BackendId): Boolean = leaving.isLeaving(id, backends[id]?.incarnation ?: 0)
 
+    /** Notes the ports that this instance has bound. Call before the first heartbeat. */
+    public fun listensOn(peerPort: Int, operatorsPort: Int = self.operatorsPort) {
+        self = self.copy(peerPort = peerPort, operatorsPort = operatorsPort, sequence = self.sequence + 1)
+    }
+
     /** Marks this instance as draining, for all that hear of it. */
     public fun leave() {
         if (!self.leaving) self = self.copy(leaving = true, sequence = self.sequence + 1)
--- a/core/src/main/kotlin/medlarroute/core/RulesRow.kt
+++ b/core/src/main/kotlin/medlarroute/core/RulesRow.kt
@@ -2,6 +2,9 @@
 
 import kotlinx.serialization.Serializable
 
+/** At 2,900 changes a day, 32 versions last about a quarter of an hour: longer than any writer waits. */
+private const val KEPT_NONCES = 32
+
 /**
  * The rules as the platform's table holds them.
  *
@@ -29,9 +32,4 @@
         this.version - previousNonces.size <= version -> false
         else -> null
     }
-
-    private companion object {
-        /** At 2,900 changes a day, 32 versions last about a quarter of an hour: longer than any writer waits. */
-        const val KEPT_NONCES = 32
-    }
 }
--- /dev/null
+++ b/server/src/main/kotlin/medlarroute/server/PeerNetwork.kt
@@ -0,0 +1,171 @@
+package medlarroute.server
+
+import com.linecorp.armeria.client.ClientFactory
+import medlarroute.core.BackendId
+import medlarroute.core.DemandMeter
+import medlarroute.core.EntryMember
+import medlarroute.core.Membership
+import medlarroute.core.PeerState
+import medlarroute.core.QuotaLedger
+import medlarroute.core.RegistryExport
+import medlarroute.core.RulesKeeper
+import medlarroute.core.RulesParser
+import medlarroute.core.RulesText
+import medlarroute.core.Settings
+import medlarroute.core.SubmissionRegistry
+import medlarroute.core.SuccessorRecords
+import medlarroute.core.TeamId
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What an entry instance exchanges with its peers and with the platform: members, rules, quota shares, forwarded
+ * requests, records of stopped homes, and claims.
+ *
+ * Start it after the engine loop, and close it after the last request was answered.
+ *
+ * @param localHandler handles forwarded requests for which this instance is the home or the successor.
+ * @param failure makes a reply that says "failed, may have run".
+ */
+internal class PeerNetwork(
+    private val settings: Settings,
+    home: SubmissionRegistry.Home,
+    inputs: InputSink,
+    localHandler: HomeHandler,
+    successors: SuccessorRecords,
+    parser: RulesParser,
+    failure: FailureReply,
+    random: Random = Random.Default,
+) : AutoCloseable {
+    private val factory = ClientFactory.builder()
+        .connectTimeoutMillis(settings.peers.connectTimeoutMs)
+        // Finds connections that have gone silent; requests on them fail instead of waiting for their deadline.
+        .pingIntervalMillis(settings.peers.pingIntervalMs)
+        .workerGroup(IO_THREADS)
+        .build()
+    private val executor = Executors.newSingleThreadScheduledExecutor { task ->
+        Thread(task, "peer-network").also { it.isDaemon = true }
+    }
+    private val platform = if (settings.platform.url.isEmpty()) null else PlatformClient(settings.platform, factory)
+    private val client = PeerClient(factory)
+    private val retention = settings.registry.retentionMs.milliseconds
+    private val members =
+        MemberTable(Membership(self(home), settings.peers, retention, random = random), inputs)
+    private val quotas = QuotaShares(QuotaLedger(slots()), DemandMeter(), inputs)
+    private val sync = RulesSync(RulesKeeper(parser), platform, client, inputs, quotas::rulesChanged)
+    private val store = RulesStore(platform, sync, parser, APPLY_LIMIT, random)
+    private val heartbeats = HeartbeatExchange(settings.peers, members, client, quotas, sync)
+    private val list = platform?.let { InstanceListSync(it, members) }
+    private val handOver = HandOver(members, client, HAND_OVER_LIMIT)
+    private val server =
+        PeerServer(settings.peers, PeerService(members, localHandler, successors, failure, heartbeats, sync))
+    private val pollers = listOfNotNull(
+        list?.let { poller(settings.platform.listIntervalMs, it::poll) },
+        poller(settings.platform.rulesIntervalMs, sync::poll),
+        poller(settings.peers.heartbeatIntervalMs, heartbeats::round),
+    )
+
+    /** Forwards requests whose home is another instance. */
+    val forwarder: RequestForwarder = PeerForwarder(members, client, localHandler, failure)
+
+    /** Addresses of the listed backend servers. */
+    val backendAddresses: BackendAddresses get() = members
+
+    /** Claims of idempotency keys. */
+    val claims = ClaimStore(platform, settings.platform.claimTimeoutMs.milliseconds, retention, random)
+
+    /** Rules for the operators' port. */
+    val rules = RulesService(sync, store, members)
+
+    /** Port that serves the peers; known after [start]. */
+    val peerPort: Int get() = server.port
+
+    /** Version of the rules in force; 0 before the first one. */
+    val rulesVersion: Long get() = sync.version
+
+    /** The other entry instances. */
+    fun peers(): List<PeerState> = members.peers()
+
+    /** Starts serving peers, polling the platform and sending heartbeats. */
+    fun start() {
+        server.start()
+        members.listensOn(server.port)
+        pollers.forEach { it.start() }
+        executor.scheduleWithFixedDelay(::refreshQuotas, QUOTA_REFRESH_MS, QUOTA_REFRESH_MS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Commits [text] if [expectedVersion] is still the committed version. */
+    fun applyRules(text: String, expectedVersion: Long): CompletableFuture<RulesApplied> =
+        store.apply(text, expectedVersion)
+
+    /** Brings rules into force that did not come from the platform, for use without one. */
+    fun offerRules(rules: RulesText) {
+        sync.offer(rules)
+    }
+
+    /** A reply of a backend server told its incarnation and whether it is leaving. */
+    fun backendContact(id: BackendId, incarnation: Long, isLeaving: Boolean): Unit =
+        members.backendContact(id, incarnation, isLeaving)
+
+    /** Notes that a job of [team] with [tasks] tasks has arrived, admitted or not. */
+    fun demanded(team: TeamId, tasks: Int): Unit = quotas.demanded(team, tasks)
+
+    /** Tells the peers that this instance drains. */
+    fun leave() {
+        members.leave()
+        heartbeats.round()
+    }
+
+    /**
+     * Sends the records of the sealed registry to a successor and tells the peers. Completes with the successor, or
+     * with null if none took them.
+     */
+    fun handOver(export: RegistryExport): CompletableFuture<EntryMember?> =
+        handOver.send(export).thenCompose { successor -> heartbeats.round().thenApply { successor } }
+
+    override fun close() {
+        pollers.forEach { it.close() }
+        executor.shutdownNow()
+        server.close()
+        factory.close()
+    }
+
+    private fun self(home: SubmissionRegistry.Home): EntryMember = EntryMember(
+        home.instance,
+        home.failureDomain,
+        home.incarnation,
+        settings.peers.host,
+        settings.peers.port,
+        settings.operators.port,
+        sequence = 1,
+    )
+
+    private fun slots(): Int = settings.instance.failureDomains * settings.instance.instancesInFailureDomain
+
+    private fun poller(intervalMs: Long, attempt: () -> CompletableFuture<Boolean>): Poller {
+        val longestWait = settings.platform.maxBackoffMs.milliseconds
+        return Poller(executor, intervalMs.milliseconds, longestWait, Random.Default, attempt)
+    }
+
+    private fun refreshQuotas() {
+        try {
+            quotas.refresh()
+        } catch (e: RuntimeException) {
+            log.error("peer: the quota shares could not be refreshed", e)
+        }
+    }
+
+    private companion object {
+        /** Shorter than the margin by which a lender does without a share for longer than the borrower has it. */
+        const val QUOTA_REFRESH_MS = 200L
+        const val IO_THREADS = 2
+        val APPLY_LIMIT = 10.seconds
+        val HAND_OVER_LIMIT = 10.seconds
+        val log = LogManager.getLogger(PeerNetwork::class.java)
+    }
+}
