--- a/server/src/main/kotlin/medlarroute/server/PeerNetwork.kt
+++ b/server/src/main/kotlin/medlarroute/server/PeerNetwork.kt
@@ -46,7 +46,6 @@
         .connectTimeoutMillis(settings.peers.connectTimeoutMs)
         // Finds connections that have gone silent; requests on them fail instead of waiting for their deadline.
         .pingIntervalMillis(settings.peers.pingIntervalMs)
-        .workerGroup(IO_THREADS)
         .build()
     private val executor = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "peer-network").also { it.isDaemon = true }
@@ -131,8 +130,7 @@
     override fun close() {
         pollers.forEach { it.close() }
         executor.shutdownNow()
-        server.close()
-        factory.close()
+        CompletableFuture.allOf(server.stop(), factory.closeAsync()).join()
     }
 
     private fun self(home: SubmissionRegistry.Home): EntryMember = EntryMember(
@@ -163,7 +161,6 @@
     private companion object {
         /** Shorter than the margin by which a lender does without a share for longer than the borrower has it. */
         const val QUOTA_REFRESH_MS = 200L
-        const val IO_THREADS = 2
         val APPLY_LIMIT = 10.seconds
         val HAND_OVER_LIMIT = 10.seconds
         val log = LogManager.getLogger(PeerNetwork::class.java)
--- a/server/src/main/kotlin/medlarroute/server/PeerServer.kt
+++ b/server/src/main/kotlin/medlarroute/server/PeerServer.kt
@@ -19,6 +19,7 @@
 import medlarroute.peer.HeartbeatMessage
 import medlarroute.peer.PeerGrpc
 import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The calls of other entry instances. */
@@ -77,7 +78,7 @@
 }
 
 /** The port for other entry instances. */
-internal class PeerServer(settings: PeerSettings, service: PeerService) : AutoCloseable {
+internal class PeerServer(settings: PeerSettings, service: PeerService) {
     private val server = Server.builder()
         .http(InetSocketAddress(settings.host, settings.port))
         .requestTimeoutMillis(0)
@@ -101,9 +102,8 @@
         server.start().join()
     }
 
-    override fun close() {
-        server.stop().join()
-    }
+    /** Completes when no request is under way and the port is closed. */
+    fun stop(): CompletableFuture<Void> = server.stop()
 
     private companion object {
         const val QUIET_MS = 50L
--- a/server/src/test/kotlin/medlarroute/server/PeerFleet.kt
+++ b/server/src/test/kotlin/medlarroute/server/PeerFleet.kt
@@ -22,6 +22,7 @@
 import medlarroute.core.TeamId
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.Executors
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -98,6 +99,14 @@
     override fun close() = network.close()
 }
 
+/** Closes all at once, since an Armeria server takes two seconds to close its event loop. */
+internal fun closeAll(opened: List<AutoCloseable>) {
+    val closing = opened.map { CompletableFuture.runAsync(it::close, closers) }
+    CompletableFuture.allOf(*closing.toTypedArray()).join()
+}
+
+private val closers = Executors.newCachedThreadPool { Thread(it, "closer").also { thread -> thread.isDaemon = true } }
+
 /** Waits until [condition] holds; the bound only ends a test that would fail anyway. */
 internal fun eventually(what: String, within: Duration = 20.seconds, condition: () -> Boolean) {
     val until = TimeSource.Monotonic.markNow() + within
--- a/server/src/test/kotlin/medlarroute/server/PeerNetworkTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/PeerNetworkTest.kt
@@ -25,7 +25,7 @@
     private val opened = ArrayList<AutoCloseable>()
 
     @AfterEach
-    fun close() = opened.asReversed().forEach { it.close() }
+    fun close() = closeAll(opened)
 
     private fun <T : AutoCloseable> T.opened(): T = also { opened += it }
 
--- a/server/src/test/kotlin/medlarroute/server/RulesStoreTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/RulesStoreTest.kt
@@ -14,7 +14,7 @@
     private val opened = ArrayList<AutoCloseable>(listOf(platform))
 
     @AfterEach
-    fun close() = opened.asReversed().forEach { it.close() }
+    fun close() = closeAll(opened)
 
     private fun start(name: String, hasPlatform: Boolean = true, seed: TestInstance? = null): TestInstance {
         val settings = if (hasPlatform) platform.settings else platform.settings.copy(url = "")
