Add the load tool

Cause: correctness and latency under load must be measured from outside, at planned arrival times. Change: open-loop client with tickets, concurrent resubmissions to other entry instances, cancellations and retries under the same id; judges each answer by its payloads; keeps a record for the checker; the start log shares the JSON lines writer with it. Conclusion: LoadToolTest (8 tests) and BackendStandinTest (11 tests) pass.

--- /dev/null
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadReport.kt
@@ -0,0 +1,51 @@
+package medlarroute.lab
+
+import org.HdrHistogram.Histogram
+import java.util.Locale
+
+/** Final state of a submission as the load tool sees it. */
+enum class LoadOutcome {
+    /** A complete answer with the right outputs. */
+    COMPLETE,
+
+    /** A truthful failure: it may have run. */
+    FAILED,
+
+    /** A refusal: it has not run. */
+    REFUSED,
+
+    /** No answer to any copy of the request. */
+    MISSING,
+
+    /** An answer that is partial, has wrong outputs or belongs to another request. */
+    WRONG,
+
+    /** No ticket could be opened, so that nothing was sent. */
+    NOT_SENT,
+}
+
+/**
+ * Result of a run of the load tool.
+ *
+ * @property latencies of complete answers in microseconds, from the planned arrival to the first answer, so that a
+ * delayed send counts as well.
+ * @property codes number of failures and refusals by code.
+ */
+class LoadReport(val outcomes: Map<LoadOutcome, Int>, val codes: Map<String, Int>, val latencies: Histogram) {
+    fun count(outcome: LoadOutcome): Int = outcomes[outcome] ?: 0
+
+    /** The report as text, several lines. */
+    override fun toString(): String {
+        val counts = LoadOutcome.entries.joinToString(" ") { "${it.name.lowercase()}=${count(it)}" }
+        val reasons = codes.entries.sortedBy { it.key }.joinToString(" ") { "${it.key}=${it.value}" }
+        val times = PERCENTILES.joinToString(" ") { "p$it=${milliseconds(latencies.getValueAtPercentile(it))}" }
+        return "jobs $counts\ncodes $reasons\ncomplete answers, ms $times max=${milliseconds(latencies.maxValue)}"
+    }
+
+    private fun milliseconds(microseconds: Long) = String.format(Locale.ROOT, "%.1f", microseconds / US_PER_MS)
+
+    private companion object {
+        val PERCENTILES = listOf(50.0, 90.0, 99.0, 99.9)
+        const val US_PER_MS = 1_000.0
+    }
+}
--- a/lab/src/main/kotlin/medlarroute/lab/StartLog.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/StartLog.kt
@@ -1,13 +1,7 @@
 package medlarroute.lab
 
 import kotlinx.serialization.Serializable
-import java.nio.ByteBuffer
-import java.nio.channels.FileChannel
-import java.nio.file.Files
 import java.nio.file.Path
-import java.nio.file.StandardOpenOption.APPEND
-import java.nio.file.StandardOpenOption.CREATE
-import java.nio.file.StandardOpenOption.WRITE
 
 /** What happened at a backend stand-in. */
 @Serializable
@@ -45,31 +39,18 @@
 )
 
 /**
- * Log of all task starts of the backend stand-ins of a process: a file of JSON lines.
- *
- * Each line is handed to the operating system before [write] returns, so that it survives a kill of the process.
- * Thread-safe.
+ * Log of all task starts of the backend stand-ins of a process: a file of JSON lines. A line survives a kill of the
+ * process once [write] has returned. Thread-safe.
  */
 class StartLog(path: Path) : AutoCloseable {
-    private val file = FileChannel.open(path, CREATE, WRITE, APPEND)
+    private val lines = JsonLinesWriter(path, StartLogEntry.serializer())
 
-    @Synchronized
-    fun write(entry: StartLogEntry) {
-        val line = ByteBuffer.wrap("${labJson.encodeToString(StartLogEntry.serializer(), entry)}\n".toByteArray())
-        while (line.hasRemaining()) file.write(line)
-    }
+    fun write(entry: StartLogEntry): Unit = lines.write(entry)
 
-    override fun close(): Unit = file.close()
+    override fun close(): Unit = lines.close()
 
     companion object {
-        /** Reads a start log. A last line without a line end is from a killed writer and is left out. */
-        fun read(path: Path): List<StartLogEntry> =
-            completeLines(path).map { labJson.decodeFromString(StartLogEntry.serializer(), it) }
+        /** Reads a start log. */
+        fun read(path: Path): List<StartLogEntry> = readJsonLines(path, StartLogEntry.serializer())
     }
 }
-
-/** Lines of a file of JSON lines whose writer may have been killed in the middle of the last one. */
-internal fun completeLines(path: Path): List<String> {
-    val text = Files.readString(path)
-    return text.substring(0, text.lastIndexOf('\n') + 1).lineSequence().filter { it.isNotBlank() }.toList()
-}
