--- a/lab/src/main/kotlin/medlarroute/lab/LoadRecord.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadRecord.kt
@@ -81,6 +81,8 @@
     answer: LoadRecord.Answered,
     ownerOf: (output: String) -> String?,
 ): AnswerDefect? {
+    // A refusal of a request that was not read far enough to know its submission names none.
+    if (answer.answeredSubmission == null && answer.status == AnswerStatus.REFUSED) return null
     if (answer.answeredSubmission != sent.submission) return AnswerDefect.OTHER_REQUEST
     if (answer.status != AnswerStatus.COMPLETE) return null
     if (answer.results.map { it.index } != sent.payloads.indices.toList()) return AnswerDefect.PARTIAL
