Add the policy experiment with baselines and a clairvoyant lower bound

Cause: changes of the policy need a before and an after. Change: several real engines run under one virtual clock against models of backend servers; random, round robin, least outstanding and first-come-first-served run on the same arrivals.

--- /dev/null
+++ b/lab/src/main/kotlin/medlarroute/lab/RunExperiment.kt
@@ -0,0 +1,77 @@
+package medlarroute.lab
+
+import medlarroute.core.Engine
+import medlarroute.core.EngineSettings
+import java.io.File
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+import kotlin.random.Random
+
+/**
+ * What [runExperiment] runs.
+ *
+ * @property workloads YAML files, or directories whose YAML files are taken in order of their names.
+ * @property policies names of the policies; empty means the engine and all baselines.
+ * @property out directory for `experiment.json` and `experiment.html`.
+ * @property threads experiments that run at the same time; the figures do not depend on it, apart from real times.
+ */
+public data class ExperimentArguments(
+    public val workloads: List<File>,
+    public val policies: List<String> = emptyList(),
+    public val out: File = File("target/experiment"),
+    public val threads: Int = 2,
+)
+
+/** Runs the workloads with the policies, writes the report and returns a table of the main figures. */
+public fun runExperiment(arguments: ExperimentArguments): String {
+    val names = arguments.policies.ifEmpty { listOf(ENGINE) + BASELINES.keys }
+    val workloads = arguments.workloads.flatMap(::yamlFiles).map(Workload::read)
+    val executor = Executors.newFixedThreadPool(arguments.threads)
+    try {
+        val results = workloads.map { workload -> executor.submit(Callable { runAll(workload, names) }) }
+        val report = ExperimentReport(results.flatMap { it.get() })
+        report.write(arguments.out)
+        return report.table()
+    } finally {
+        executor.shutdownNow()
+    }
+}
+
+private const val ENGINE = "medlarroute"
+
+private val BASELINES =
+    mapOf(
+        "random" to Pick.RANDOM,
+        "round-robin" to Pick.ROUND_ROBIN,
+        "least-outstanding" to Pick.LEAST_OUTSTANDING,
+        "first-come" to Pick.FIRST_COME_FIRST_SERVED,
+    )
+
+private fun yamlFiles(file: File): List<File> =
+    if (file.isDirectory) file.listFiles { entry -> entry.extension == "yaml" }.orEmpty().sorted() else listOf(file)
+
+private fun runAll(workload: Workload, names: List<String>): List<PolicyResult> {
+    val scenario = Scenario(workload)
+    val ideal = Ideal(scenario)
+    return names.map { Experiment(scenario, policy(it), ideal).run() }
+}
+
+private fun policy(name: String): Policy {
+    val pick = BASELINES[name]
+    if (pick != null) return Policy(name) { BaselineDispatcher(pick, it.clock, Random(it.instance)) }
+    require(name == ENGINE) { "unknown policy: $name" }
+    return Policy(name) {
+        val settings = EngineSettings(failureDomain = it.failureDomain)
+        EngineDispatcher(Engine(settings, it.clock, Random(it.instance)))
+    }
+}
+
+/** Runs the experiment without the command line binary: `runExperiment [--policies a,b] [--out dir] file...`. */
+public fun main(arguments: Array<String>) {
+    val policies = arguments.indexOf("--policies").takeIf { it >= 0 }?.let { arguments[it + 1].split(',') }.orEmpty()
+    val out = arguments.indexOf("--out").takeIf { it >= 0 }?.let { File(arguments[it + 1]) }
+    val files = arguments.filterIndexed { index, text -> !text.startsWith("--") && !isValue(arguments, index) }
+    println(runExperiment(ExperimentArguments(files.map(::File), policies, out ?: File("target/experiment"))))
+}
+
+private fun isValue(arguments: Array<String>, index: Int) = index > 0 && arguments[index - 1].startsWith("--")
