--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -82,9 +82,10 @@
     private val callerServer = callerServer()
     private val operatorServer = operatorServer()
 
-    /** An instance without peers and platform. */
-    public constructor(settings: Settings) :
-        this(settings, Incarnation(System.currentTimeMillis()), { Standalone() })
+    /** An instance that stands alone unless the settings name a platform or peers to contact. */
+    public constructor(
+        settings: Settings,
+    ) : this(settings, Incarnation(System.currentTimeMillis()), extensionFor(settings))
 
     /** Port that serves callers; known after [start]. */
     public val callerPort: Int get() = callerServer.activeLocalPort()
@@ -151,12 +152,11 @@
         stopped.orTimeout((limit + SHUTDOWN_MARGIN).inWholeMilliseconds, TimeUnit.MILLISECONDS).exceptionally {
             null
         }.join()
-        extension.stop()
+        CompletableFuture.allOf(CompletableFuture.runAsync(extension::stop), operatorServer.stop()).join()
         backends.close()
         loop.stop()
         answers.shutdown()
         state.set(InstanceState.STOPPED)
-        operatorServer.stop().join()
         metrics.close()
     }
 
@@ -266,6 +266,11 @@
     private companion object {
         val log = LogManager.getLogger(EntryInstance::class.java)
 
+        fun extensionFor(settings: Settings): (InstanceParts) -> Extension {
+            val isAlone = settings.platform.url.isEmpty() && settings.peers.seeds.isEmpty()
+            return if (isAlone) { _ -> Standalone() } else ::PeerExtension
+        }
+
         /** Time for reading a body before the job's own timeout begins. */
         const val READ_MARGIN_MS = 5_000L
 
