Connect the entry instance with its peers and the platform

Cause: the front and the peer network were built apart. An instance whose settings name no platform stays standalone.

--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -79,9 +79,9 @@
     private val callerServer = callerServer()
     private val operatorServer = operatorServer()
 
-    /** An instance without peers and platform. */
+    /** An instance with peers and platform, or a standalone one if the settings name no platform. */
     public constructor(settings: Settings) :
-        this(settings, Incarnation(System.currentTimeMillis()), { Standalone() })
+        this(settings, Incarnation(System.currentTimeMillis()), ::extensionFor)
 
     /** Port that serves callers; known after [start]. */
     public val callerPort: Int get() = callerServer.activeLocalPort()
@@ -261,5 +261,8 @@
         /** Requests that arrive on open connections right before these are closed are still served. */
         const val QUIET_PERIOD_MS = 200L
         val SHUTDOWN_MARGIN = 5_000.milliseconds
+
+        fun extensionFor(parts: InstanceParts): Extension =
+            if (parts.settings.platform.url.isEmpty()) Standalone() else PeerExtension(parts)
     }
 }
