--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -37,6 +37,7 @@
     public val quotaSlot: Int = 0,
     @Setting("Entry instances that the failure domain has at most", min = 1.0)
     public val instancesInFailureDomain: Int = 1,
+    @Setting("Failure domains that share the quotas", min = 1.0)
     public val failureDomains: Int = 1,
 )
 
@@ -110,9 +111,13 @@
     public val fanOut: Int = 3,
     @Setting("Time without contact after which a peer counts as unreachable", min = 20.0)
     public val deadAfterMs: Long = 5_000,
+    @Setting("Upper bound of the size of one heartbeat", min = 200.0)
     public val heartbeatBytes: Int = 240,
+    @Setting("Time for connecting to a peer", min = 1.0)
     public val connectTimeoutMs: Long = 500,
+    @Setting("Time between two PINGs on an idle connection to a peer", min = 1000.0)
     public val pingIntervalMs: Long = 2_000,
+    @Setting("Entry instances to contact at the start, as host:port")
     public val seeds: List<String> = emptyList(),
 )
 
@@ -134,7 +139,9 @@
     public val listIntervalMs: Long = 2_000,
     @Setting("Time between two polls of the rules", min = 10.0)
     public val rulesIntervalMs: Long = 1_000,
+    @Setting("Longest wait between two attempts while the platform fails", min = 10.0)
     public val maxBackoffMs: Long = 10_000,
+    @Setting("Time after which a claim of an Idempotency-Key is given up", min = 1.0)
     public val claimTimeoutMs: Long = 2_000,
 )
 
--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -79,9 +79,9 @@
     private val callerServer = callerServer()
     private val operatorServer = operatorServer()
 
-    /** An instance without peers and platform. */
+    /** An instance with peers and platform if the settings name the platform or peers, else without. */
     public constructor(settings: Settings) :
-        this(settings, Incarnation(System.currentTimeMillis()), { Standalone() })
+        this(settings, Incarnation(System.currentTimeMillis()), { PeerExtension.ofSettings(it) ?: Standalone() })
 
     /** Port that serves callers; known after [start]. */
     public val callerPort: Int get() = callerServer.activeLocalPort()
--- a/server/src/main/kotlin/medlarroute/server/JobService.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -210,8 +210,6 @@
 
     private fun closedCode() = if (draining) RefusalCode.DRAINING else RefusalCode.TICKET_CLOSED
 
-    private fun digestOf(body: ByteArray): Long = Hashing.komihash5_0().hashBytesToLong(body)
-
     private companion object {
         /** Lets the engine answer first: its answer at the deadline tells more than the one given here. */
         val ANSWER_GRACE = 100.milliseconds
@@ -221,3 +219,6 @@
         )
     }
 }
+
+/** Digest by which the registry tells whether a submission id is used again with another request. */
+internal fun digestOf(body: ByteArray): Long = Hashing.komihash5_0().hashBytesToLong(body)
--- a/server/src/main/kotlin/medlarroute/server/PeerNetwork.kt
+++ b/server/src/main/kotlin/medlarroute/server/PeerNetwork.kt
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.client.ClientFactory
 import medlarroute.core.BackendId
+import medlarroute.core.CallerId
 import medlarroute.core.DemandMeter
 import medlarroute.core.EntryMember
 import medlarroute.core.LendingSettings
@@ -9,6 +10,7 @@
 import medlarroute.core.PeerState
 import medlarroute.core.QuotaLedger
 import medlarroute.core.RegistryExport
+import medlarroute.core.Rules
 import medlarroute.core.RulesKeeper
 import medlarroute.core.RulesParser
 import medlarroute.core.RulesText
@@ -58,7 +60,7 @@
     private val members =
         MemberTable(Membership(self(home), settings.peers, retention, random = random), inputs)
     private val quotas = QuotaShares(QuotaLedger(slots(), lending), DemandMeter(), inputs)
-    private val sync = RulesSync(RulesKeeper(parser), platform, client, inputs, quotas::rulesChanged)
+    private val sync = RulesSync(RulesKeeper(parser), platform, client, inputs, ::rulesChanged)
     private val store = RulesStore(platform, sync, parser, APPLY_LIMIT, random)
     private val heartbeats = HeartbeatExchange(settings.peers, members, client, quotas, sync)
     private val list = platform?.let { InstanceListSync(it, members) }
@@ -71,6 +73,9 @@
         poller(settings.peers.heartbeatIntervalMs, heartbeats::round),
     )
 
+    @Volatile
+    private var rulesInForce = Rules()
+
     /** Forwards requests whose home is another instance. */
     val forwarder: RequestForwarder = PeerForwarder(members, client, localHandler, failure)
 
@@ -89,6 +94,12 @@
     /** Version of the rules in force; 0 before the first one. */
     val rulesVersion: Long get() = sync.version
 
+    /** True once another process has taken over the name of this instance. */
+    val isReplaced: Boolean get() = members.isReplaced
+
+    /** Starts per second that this instance may use now. */
+    fun shares(): Map<TeamId, Double> = quotas.shares()
+
     /** The other entry instances. */
     fun peers(): List<PeerState> = members.peers()
 
@@ -113,8 +124,8 @@
     fun backendContact(id: BackendId, incarnation: Long, isLeaving: Boolean): Unit =
         members.backendContact(id, incarnation, isLeaving)
 
-    /** Notes that a job of [team] with [tasks] tasks has arrived, admitted or not. */
-    fun demanded(team: TeamId, tasks: Int): Unit = quotas.demanded(team, tasks)
+    /** Notes that a job of [caller] with [tasks] tasks has arrived, admitted or not. */
+    fun demanded(caller: CallerId, tasks: Int): Unit = quotas.demanded(rulesInForce.teamOf(caller), tasks)
 
     /** Tells the peers that this instance drains. */
     fun leave() {
@@ -152,6 +163,11 @@
         return Poller(executor, intervalMs.milliseconds, longestWait, Random.Default, attempt)
     }
 
+    private fun rulesChanged(rules: Rules) {
+        rulesInForce = rules
+        quotas.rulesChanged(rules)
+    }
+
     private fun refreshQuotas() {
         try {
             quotas.refresh()
--- a/server/src/test/kotlin/medlarroute/server/PeerNetworkTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/PeerNetworkTest.kt
@@ -156,7 +156,7 @@
         listOf(first, second).forEach { it.network.offerRules(RulesText(1, "quota 400")) }
         eventually("the hold after the start is over") { share(first, team) == 100.0 }
         eventually("share is lent") {
-            second.network.demanded(team, 200)
+            second.network.demanded(CallerId("imaging"), 200)
             share(second, team) > 110.0
         }
         eventually("the lender's engine has less") { share(first, team) < 100.0 }
