--- a/cli/src/main/kotlin/medlarroute/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/ServeCommand.kt
@@ -5,6 +5,9 @@
 import medlarroute.core.Settings
 import medlarroute.core.SettingsReader
 import medlarroute.server.EntryInstance
+import medlarroute.server.connectedInstance
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.CompletionException
 import java.util.concurrent.CountDownLatch
 
 /** Runs an entry instance until it is told to stop. */
@@ -25,15 +28,27 @@
         configureLogs(settings)
         val instance = started(settings)
         rules?.let { instance.applyRules(it.toRules(version = 1)) }
+        Runtime.getRuntime().addShutdownHook(Thread { stop(instance) })
         CountDownLatch(1).await()
         return ExitCode.SUCCESS
     }
 
+    /** Runs on SIGTERM, after which a JVM exits with 143 by itself; a supervisor would take that for a fault. */
+    private fun stop(instance: EntryInstance) {
+        val report = instance.drain()
+        LogManager.shutdown()
+        Runtime.getRuntime().halt(if (report.unfinishedJobs == 0) ExitCode.SUCCESS else ExitCode.NEGATIVE)
+    }
+
     private fun started(settings: Settings): EntryInstance =
         try {
-            EntryInstance(settings).also { it.start() }
+            val isAlone = settings.platform.url.isEmpty()
+            val instance = if (isAlone) EntryInstance(settings) else connectedInstance(settings)
+            instance.also { it.start() }
         } catch (e: IllegalArgumentException) {
             throw CliFailure(ExitCode.BAD_INPUT, "$settingsFile:1:1: ${e.message}", e)
+        } catch (e: CompletionException) {
+            throw CliFailure(ExitCode.BAD_INPUT, "$settingsFile:1:1: a port can't be bound: ${e.cause?.message}", e)
         }
 
     /** Log4j reads these properties when the first logger is made, so they are set before that. */
