--- a/cli/src/main/kotlin/medlarroute/cli/Main.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -4,7 +4,7 @@
 
 /**
  * All commands of the binary, in the order of the help text. A command of another module takes one line:
- * `ExternalCommand("load", "Generates load", cli, LoadMain::run)`.
+ * `ExternalCommand("load", "Generates load", LoadMain::run)`.
  */
 internal fun commands(cli: Cli): List<CliCommand> =
     listOf(
--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -37,6 +37,7 @@
     public val quotaSlot: Int = 0,
     @Setting("Entry instances that the failure domain has at most", min = 1.0)
     public val instancesInFailureDomain: Int = 1,
+    @Setting("Failure domains of the deployment, among which quotas are divided", min = 1.0)
     public val failureDomains: Int = 1,
 )
 
@@ -108,7 +109,9 @@
     public val fanOut: Int = 3,
     @Setting("Time without contact after which a peer counts as unreachable", min = 20.0)
     public val deadAfterMs: Long = 5_000,
+    @Setting("Upper bound of the encoded size of one heartbeat", min = 64.0)
     public val heartbeatBytes: Int = 240,
+    @Setting("Time after which an attempt to connect to a peer is given up", min = 1.0)
     public val connectTimeoutMs: Long = 500,
     public val pingIntervalMs: Long = 1_000,
     public val seeds: List<String> = emptyList(),
@@ -132,7 +135,9 @@
     public val listIntervalMs: Long = 2_000,
     @Setting("Time between two polls of the rules", min = 10.0)
     public val rulesIntervalMs: Long = 1_000,
+    @Setting("Longest time between two attempts to reach the platform while it is down", min = 10.0)
     public val maxBackoffMs: Long = 10_000,
+    @Setting("Time after which a claim of an idempotency key is given up as not known", min = 10.0)
     public val claimTimeoutMs: Long = 2_000,
 )
 
--- a/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
+++ b/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
@@ -65,6 +65,9 @@
         atLeast("registry.retentionMs", settings.registry.retentionMs, "engine.maxTimeoutMs", engine.maxTimeoutMs)
         val twoHeartbeatsMs = 2 * peers.heartbeatIntervalMs
         atLeast("peers.deadAfterMs", peers.deadAfterMs, "twice peers.heartbeatIntervalMs", twoHeartbeatsMs)
+        settings.peers.seeds.filterNot { SEED.matches(it) }.forEach { seed ->
+            expect(isRight = false, "peers.seeds", "expected host:port, found `$seed`")
+        }
         atLeast("backends.silentAfterMs", backends.silentAfterMs, "backends.pingIntervalMs", backends.pingIntervalMs)
     }
 
@@ -96,6 +99,7 @@
 
     private companion object {
         val NAME = Regex("[A-Za-z0-9_-]{1,64}")
+        val SEED = Regex("\\S+:[0-9]{1,5}")
         const val NAME_RULE = "1 to 64 letters, digits, `-` and `_`"
         val anyAddress = setOf("0.0.0.0", "::")
     }
