--- a/server/src/main/kotlin/medlarroute/server/PeerExtension.kt
+++ b/server/src/main/kotlin/medlarroute/server/PeerExtension.kt
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Connects an entry instance to its peers and the platform. */
 internal class PeerExtension(parts: InstanceParts) : Extension {
@@ -31,7 +32,13 @@
     private val servingIncarnations = ConcurrentHashMap<BackendId, Long>()
 
     override val forwarder: RequestForwarder get() = network.forwarder
-    override val claims: ClaimHandler = KeyedSubmissions(network.claims, parts.registry, parts.home, network.forwarder)
+    override val claims: ClaimHandler =
+        ClaimedJobs(
+            network.claims,
+            parts.registry,
+            network.forwarder,
+            parts.settings.registry.retentionMs.milliseconds,
+        )
     override val addresses: BackendAddresses get() = network.backendAddresses
 
     override fun addOperatorServices(server: ServerBuilder): Unit = network.rules.addTo(server)
