--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -174,14 +174,12 @@
 /**
  * How a stopping instance ends.
  *
- * @property limitMs time for running jobs and open requests to end; at least the longest timeout of a job, so that no
- *   request is cut.
- * @property settleMs time for which requests are still taken after the readiness check fails, so that the load balancer
- *   can notice.
+ * @property limitMs at least the longest timeout of a job, so that no request is cut.
+ * @property settleMs time that the load balancer has to notice that the readiness check fails.
  */
 @Serializable
 public data class DrainSettings(
-    @Setting("Longest time for which a stopping instance waits for running jobs", min = 1.0)
+    @Setting("Longest time for which a stopping instance waits for running jobs and open requests", min = 1.0)
     public val limitMs: Long = 65_000,
     @Setting("Time for which requests are still taken after the readiness check fails", min = 0.0)
     public val settleMs: Long = 1_000,
--- a/server/src/test/kotlin/medlarroute/server/EntryInstanceTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/EntryInstanceTest.kt
@@ -15,7 +15,9 @@
 import kotlinx.serialization.json.jsonPrimitive
 import medlarroute.core.CallerSettings
 import medlarroute.core.DrainSettings
+import medlarroute.core.ObjectiveSettings
 import medlarroute.core.OperatorSettings
+import medlarroute.core.ReportSettings
 import medlarroute.core.Rules
 import medlarroute.core.Settings
 import medlarroute.core.TlsSettings
@@ -37,6 +39,7 @@
         callers = CallerSettings(port = 0),
         operators = OperatorSettings(port = 0),
         drain = DrainSettings(settleMs = 0),
+        report = ReportSettings(listOf(ObjectiveSettings())),
     )
     private val threeTasks = """{"kind":"check","tasks":[{"payload":"a"},{"payload":"b"},{"payload":"c"}]}"""
 
@@ -133,6 +136,7 @@
             metrics shouldContain "medlarroute_tasks_started_total 3.0"
             metrics shouldContain """medlarroute_messages_total{use="useful"} 6.0"""
             metrics shouldContain """medlarroute_messages_total{use="wasted"} 0.0"""
+            operators.read(BurnReportService.PATH).contentUtf8() shouldContain "\"total\":1"
             instance.drain()
         }
     }
