--- a/lab/src/main/kotlin/medlarroute/lab/BackendStandin.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/BackendStandin.kt
@@ -186,7 +186,7 @@
     }
 
     private fun startTask(request: StartRequest): HttpResponse {
-        if (switches.leaving) return notStarted("leaving")
+        if (switches.leaving && !switches.startsWhileLeaving) return notStarted("leaving")
         if (switches.busy) return notStarted("busy")
         val work = StandinWork.parse(request.payload)
         val fails = work.fails || switches.failsAll
--- a/lab/src/main/kotlin/medlarroute/lab/LoadRecord.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadRecord.kt
@@ -21,7 +21,12 @@
         val payloads: List<String>,
     ) : LoadRecord
 
-    /** An answer has arrived. [answeredSubmission] is the submission that the answer itself names. */
+    /**
+     * An answer has arrived.
+     *
+     * @property answeredSubmission submission that the answer itself names.
+     * @property isReplay the request was sent again after its job had been answered as complete.
+     */
     @Serializable
     @SerialName("answered")
     data class Answered(
@@ -33,6 +38,7 @@
         val answeredSubmission: String? = null,
         val code: String = "",
         val results: List<TaskResult> = emptyList(),
+        val isReplay: Boolean = false,
     ) : LoadRecord
 
     /** No answer has arrived to any copy of the request, and none will be waited for. */
--- a/lab/src/main/kotlin/medlarroute/lab/LoadReport.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadReport.kt
@@ -30,8 +30,14 @@
  * @property latencies of complete answers in microseconds, from the planned arrival to the first answer, so that a
  * delayed send counts as well.
  * @property codes number of failures and refusals by code.
+ * @property replays outcomes of the submissions that were sent once more at the end.
  */
-class LoadReport(val outcomes: Map<LoadOutcome, Int>, val codes: Map<String, Int>, val latencies: Histogram) {
+class LoadReport(
+    val outcomes: Map<LoadOutcome, Int>,
+    val codes: Map<String, Int>,
+    val latencies: Histogram,
+    val replays: Map<LoadOutcome, Int> = emptyMap(),
+) {
     fun count(outcome: LoadOutcome): Int = outcomes[outcome] ?: 0
 
     /** The report as text, several lines. */
@@ -39,7 +45,12 @@
         val counts = LoadOutcome.entries.joinToString(" ") { "${it.name.lowercase()}=${count(it)}" }
         val reasons = codes.entries.sortedBy { it.key }.joinToString(" ") { "${it.key}=${it.value}" }
         val times = PERCENTILES.joinToString(" ") { "p$it=${milliseconds(latencies.getValueAtPercentile(it))}" }
-        return "jobs $counts\ncodes $reasons\ncomplete answers, ms $times max=${milliseconds(latencies.maxValue)}"
+        val replayed = replays.entries.sortedBy {
+            it.key
+        }.joinToString(" ") { "${it.key.name.lowercase()}=${it.value}" }
+        return "jobs $counts\ncodes $reasons\nreplays $replayed\ncomplete answers, ms $times max=${milliseconds(
+            latencies.maxValue,
+        )}"
     }
 
     private fun milliseconds(microseconds: Long) = String.format(Locale.ROOT, "%.1f", microseconds / US_PER_MS)
--- a/lab/src/main/kotlin/medlarroute/lab/LoadSettings.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadSettings.kt
@@ -16,6 +16,7 @@
  * @property cancelShare share of the jobs that are cancelled after a random part of their deadline.
  * @property nonIdempotentShare share of the jobs that are marked as not idempotent.
  * @property attempts copies of a request that are sent one after the other while none is answered.
+ * @property replays complete submissions, the latest ones, that are sent once more at the end of the run.
  * @property maxDurationMs time after which no further job is sent.
  */
 data class LoadSettings(
@@ -35,6 +36,7 @@
     val cancelShare: Double = 0.02,
     val nonIdempotentShare: Double = 0.2,
     val attempts: Int = 6,
+    val replays: Int = 0,
     val maxDurationMs: Long = 120_000,
     val seed: Long = 1,
 ) {
--- a/lab/src/main/kotlin/medlarroute/lab/LoadTool.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadTool.kt
@@ -39,9 +39,10 @@
     private val timer: ScheduledExecutorService =
         Executors.newSingleThreadScheduledExecutor { task -> Thread(task, "load-timer").apply { isDaemon = true } }
     private val random = Random(settings.seed + 1)
-    private val tickets = TicketPool(settings.ticketsPerCaller) { openTicket(it, settings.attempts) }
+    private val tickets = TicketPool(settings.ticketsPerCaller) { openTicket(it) }
     private val outcomes = ConcurrentHashMap<Int, LoadOutcome>()
     private val codes = ConcurrentHashMap<String, AtomicInteger>()
+    private val replayable = ArrayDeque<Submission>()
     private val latencies = ConcurrentHistogram(LONGEST_US, HISTOGRAM_DIGITS)
 
     /** Sends all jobs and waits for their answers. Call once. */
@@ -57,7 +58,7 @@
         }
         CompletableFuture.allOf(*open.toTypedArray()).join()
         val counts = outcomes.values.groupingBy { it }.eachCount()
-        return LoadReport(counts, codes.mapValues { it.value.get() }, latencies)
+        return LoadReport(counts, codes.mapValues { it.value.get() }, latencies, replay())
     }
 
     override fun close() {
@@ -66,6 +67,18 @@
         lines.close()
     }
 
+    private fun replay(): Map<LoadOutcome, Int> {
+        val chosen = synchronized(replayable) { replayable.toList() }
+        val answers = chosen.map { ask(it, settings.attempts).thenApply { answer -> replayed(it, answer) } }
+        return answers.map { it.join() }.groupingBy { it }.eachCount()
+    }
+
+    private fun replayed(submission: Submission, answer: LoadRecord.Answered?): LoadOutcome {
+        if (answer == null) return LoadOutcome.MISSING
+        lines.write(answer.copy(isReplay = true))
+        return outcomeOf(submission, answer)
+    }
+
     private fun begin(job: PlannedJob, arrival: TimeSource.Monotonic.ValueTimeMark): CompletableFuture<*> =
         tickets.nextSubmission(job.caller).handle { id, failure ->
             if (failure != null) {
@@ -78,65 +91,56 @@
         }.thenCompose { it }
 
     private fun send(submission: Submission): CompletableFuture<Unit> {
-        val first = attempt(submission, settings.attempts, avoid = null)
+        val first = ask(submission, settings.attempts).thenApply { answered(submission, it) ?: missing(submission) }
         val resubmitted = submission.job.resubmitAfterMs?.let { delayMs ->
-            after(delayMs) { attempt(submission, 1, avoid = null, isExtra = true) }
+            after(delayMs) { ask(submission, 1).thenApply { answered(submission, it) } }
         }
         submission.job.cancelAfterMs?.let { delayMs -> after(delayMs) { cancel(submission) } }
         return (resubmitted ?: CompletableFuture.completedFuture(Unit)).thenCombine(first) { _, _ -> }
     }
 
-    /** Sends one copy; while there is no answer, further copies go to other entry instances. */
-    private fun attempt(
-        submission: Submission,
-        attemptsLeft: Int,
-        avoid: CallerClient?,
-        isExtra: Boolean = false,
-    ): CompletableFuture<Unit> {
-        val client = choose(avoid)
-        val id = submission.sent.submission
-        return client.submit(submission.job.caller, id, submission.request).handle { reply, failure ->
-            val status = reply?.second?.answerStatus()
-            when {
-                status != null -> CompletableFuture.completedFuture(answered(submission, client, reply, status))
-                isExtra -> CompletableFuture.completedFuture(Unit)
-                attemptsLeft > 1 -> after(RETRY_DELAY_MS) { attempt(submission, attemptsLeft - 1, client) }
-                else -> CompletableFuture.completedFuture(missing(submission, failure))
+    /** Sends copies of the request, one after the other to different entry instances, until one is answered. */
+    private fun ask(submission: Submission, attempts: Int): CompletableFuture<LoadRecord.Answered?> =
+        untilAnswered(attempts) { client ->
+            val id = submission.sent.submission
+            client.submit(submission.job.caller, id, submission.request).thenApply { (httpStatus, reply) ->
+                reply.answerStatus()?.let { answerOf(id, client, httpStatus, reply, it) }
             }
-        }.thenCompose { it }
-    }
+        }
 
-    private fun answered(
-        submission: Submission,
-        client: CallerClient,
-        reply: Pair<Int, JobReply>,
-        status: AnswerStatus,
-    ) {
-        val (httpStatus, body) = reply
-        val id = submission.sent.submission
-        val answer = LoadRecord.Answered(
-            id,
-            System.currentTimeMillis(),
-            client.entry,
-            httpStatus,
-            status,
-            body.submission,
-            body.reason(),
-            body.results,
-        )
+    private fun answered(submission: Submission, answer: LoadRecord.Answered?): Unit? {
+        if (answer == null) return null
         lines.write(answer)
-        if (body.reason() in TICKET_ENDS) tickets.retire(submission.job.caller, id)
+        if (answer.code in TICKET_ENDS) tickets.retire(submission.job.caller, answer.submission)
         val outcome = outcomeOf(submission, answer)
         val previous = outcomes.putIfAbsent(submission.job.number, outcome)
         if (previous == null) count(submission, answer, outcome)
         // A wrong copy of the answer counts even if another copy was right.
         if (outcome == LoadOutcome.WRONG) outcomes[submission.job.number] = outcome
+        return Unit
     }
 
+    private fun answerOf(id: String, client: CallerClient, httpStatus: Int, reply: JobReply, status: AnswerStatus) =
+        LoadRecord.Answered(
+            submission = id,
+            timeMs = System.currentTimeMillis(),
+            entry = client.entry,
+            httpStatus = httpStatus,
+            status = status,
+            answeredSubmission = reply.submission,
+            code = reply.reason(),
+            results = reply.results,
+        )
+
     private fun count(submission: Submission, answer: LoadRecord.Answered, outcome: LoadOutcome) {
         if (answer.code.isNotEmpty()) codes.computeIfAbsent(answer.code) { AtomicInteger() }.incrementAndGet()
+        if (outcome != LoadOutcome.COMPLETE) return
+        synchronized(replayable) {
+            replayable.addLast(submission)
+            if (replayable.size > settings.replays) replayable.removeFirst()
+        }
         val us = submission.arrival.elapsedNow().inWholeMicroseconds
-        if (outcome == LoadOutcome.COMPLETE) latencies.recordValue(us.coerceIn(1, LONGEST_US))
+        latencies.recordValue(us.coerceIn(1, LONGEST_US))
     }
 
     private fun outcomeOf(submission: Submission, answer: LoadRecord.Answered): LoadOutcome =
@@ -147,9 +151,9 @@
             else -> LoadOutcome.REFUSED
         }
 
-    private fun missing(submission: Submission, failure: Throwable?) {
+    private fun missing(submission: Submission) {
         if (outcomes.putIfAbsent(submission.job.number, LoadOutcome.MISSING) != null) return
-        val reason = failure?.toString() ?: "no final answer"
+        val reason = "no answer to ${settings.attempts} copies"
         lines.write(LoadRecord.Missing(submission.sent.submission, System.currentTimeMillis(), reason))
     }
 
@@ -160,15 +164,24 @@
             choose(null).cancel(submission.job.caller, submission.sent.submission).handle { _, _ -> }
         }
 
-    private fun openTicket(caller: String, attemptsLeft: Int, avoid: CallerClient? = null): CompletableFuture<String> {
+    private fun openTicket(caller: String): CompletableFuture<String> =
+        untilAnswered<String>(settings.attempts) { client -> client.openTicket(caller).thenApply { it } }
+            .thenApply { checkNotNull(it) { "no entry instance opens a ticket" } }
+
+    /** Calls [request] with one entry instance after the other until it gives a value; null if none did. */
+    private fun <T : Any> untilAnswered(
+        attempts: Int,
+        avoid: CallerClient? = null,
+        request: (CallerClient) -> CompletableFuture<T?>,
+    ): CompletableFuture<T?> {
         val client = choose(avoid)
-        return client.openTicket(caller).handle { ticket, failure ->
-            when {
-                failure == null -> CompletableFuture.completedFuture(ticket)
-                attemptsLeft > 1 -> after(RETRY_DELAY_MS) { openTicket(caller, attemptsLeft - 1, client) }
-                else -> CompletableFuture.failedFuture(failure)
+        return request(client).handle { value, _ -> value }.thenCompose { value ->
+            if (value != null || attempts <= 1) {
+                CompletableFuture.completedFuture(value)
+            } else {
+                after(RETRY_DELAY_MS) { untilAnswered(attempts - 1, client, request) }
             }
-        }.thenCompose { it }
+        }
     }
 
     private fun choose(avoid: CallerClient?): CallerClient {
--- a/lab/src/main/kotlin/medlarroute/lab/ScenarioChecker.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/ScenarioChecker.kt
@@ -34,11 +34,13 @@
  * records of all load tools of a run.
  *
  * @param leavingBound time after which a leaving backend server must get no new task.
+ * @param drainedHome entry instance that was stopped gracefully, whose complete answers a successor must replay.
  */
 class ScenarioChecker(
     private val starts: List<StartLogEntry>,
     records: List<LoadRecord>,
     private val leavingBound: Duration = 5.seconds,
+    private val drainedHome: String? = null,
 ) {
     private val submitted = records.filterIsInstance<LoadRecord.Submitted>().associateBy { it.submission }
     private val answers = records.filterIsInstance<LoadRecord.Answered>()
@@ -60,7 +62,7 @@
     fun check(): CheckReport {
         val ofAnswers = "${answers.size} answers"
         return CheckReport(
-            listOf(
+            listOfNotNull(
                 CheckResult("the run has load", "1 run", emptyRun()),
                 CheckResult("tasks started twice", "${taskStarts.size} starts", doubleStarts()),
                 CheckResult("non-idempotent tasks run twice", "${nonIdempotentTasks()} tasks", nonIdempotentRepeats()),
@@ -72,6 +74,9 @@
                 CheckResult("false \"not run\"", "${refusals().size} refusals", falseNotRun()),
                 CheckResult("answers that contradict each other", ofAnswers, contradictions()),
                 CheckResult("starts on leaving backend servers", "${leavingEvents()} departures", lateStarts()),
+                drainedHome?.let {
+                    CheckResult("answers of $it not replayed", "${replays(it).size} replays", lostReplays(it))
+                },
             ),
         )
     }
@@ -128,6 +133,16 @@
         }.distinct().filter { it in complete }.map { "$it is complete and refused" }
     }
 
+    private fun replays(home: String) =
+        answers.filter { it.isReplay && it.submission.split('.').getOrNull(INSTANCE_FIELD) == home }
+
+    private fun lostReplays(home: String): List<String> {
+        val replays = replays(home)
+        if (replays.isEmpty()) return listOf("no answer of $home was asked for again")
+        return replays.filter { it.status != AnswerStatus.COMPLETE }
+            .map { "${it.submission} was complete, then ${it.status} with ${it.code} from ${it.entry}" }
+    }
+
     private fun leavingEvents(): Int = starts.count { it.event == StartLogEvent.LEAVING }
 
     private fun lateStarts(): List<String> =
@@ -146,10 +161,14 @@
         }
 
     companion object {
+        private const val INSTANCE_FIELD = 1
         private const val DIGEST_MISMATCH = "DIGEST_MISMATCH"
 
         /** Reads the files of a run. */
-        fun read(startLogs: List<Path>, loadRecords: List<Path>): ScenarioChecker =
-            ScenarioChecker(startLogs.flatMap { StartLog.read(it) }, loadRecords.flatMap { LoadRecord.read(it) })
+        fun read(startLogs: List<Path>, loadRecords: List<Path>, drainedHome: String? = null): ScenarioChecker {
+            val starts = startLogs.flatMap { StartLog.read(it) }
+            val records = loadRecords.flatMap { LoadRecord.read(it) }
+            return ScenarioChecker(starts, records, drainedHome = drainedHome)
+        }
     }
 }
--- a/lab/src/test/kotlin/medlarroute/lab/LoadToolTest.kt
+++ b/lab/src/test/kotlin/medlarroute/lab/LoadToolTest.kt
@@ -104,6 +104,13 @@
         slow.seen.values.map { it.get() }.toSet() shouldBe setOf(2)
     }
 
+    @Test
+    fun `complete submissions are sent once more at the end`() {
+        val report = run(settings(entry("a", FakeEntry::rightAnswer)).copy(replays = 7))
+        report.replays shouldBe mapOf(LoadOutcome.COMPLETE to 7)
+        LoadRecord.read(record()).filterIsInstance<LoadRecord.Answered>().count { it.isReplay } shouldBe 7
+    }
+
     // Guards against coordinated omission: the wait for a late send must count.
     @Test
     fun `the latency counts from the planned arrival`() {
--- a/lab/src/test/kotlin/medlarroute/lab/ScenarioCheckerTest.kt
+++ b/lab/src/test/kotlin/medlarroute/lab/ScenarioCheckerTest.kt
@@ -143,6 +143,17 @@
         failedChecks(starts = moved(6_100)) shouldContainExactly listOf("starts on leaving backend servers")
     }
 
+    @Test
+    fun `an answer of a drained home that is not replayed is found`() {
+        fun failed(replay: LoadRecord.Answered) =
+            ScenarioChecker(goodStarts, goodRecords + replay.copy(isReplay = true), drainedHome = "e1")
+                .check().results.filter { !it.isPassed }.map { it.name }
+        failed(complete(first)) shouldBe emptyList()
+        failed(complete(first).copy(status = AnswerStatus.FAILED, code = "HOME_LOST")) shouldContainExactly
+            listOf("answers of e1 not replayed")
+        ScenarioChecker(goodStarts, goodRecords, drainedHome = "e1").check().failed shouldBe 1
+    }
+
     @Test
     fun `files of a killed writer are read up to the last complete line`() {
         val startLog = directory.resolve("starts.log")
