--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -23,6 +23,7 @@
  *
  * @property quotaSlot number of this instance among the entry instances of its failure domain, from 0.
  * @property instancesInFailureDomain entry instances that the failure domain has at most.
+ * @property failureDomains failure domains that share the quotas; the same in all instances.
  */
 @Serializable
 public data class InstanceSettings(
@@ -36,6 +37,7 @@
     public val quotaSlot: Int = 0,
     @Setting("Entry instances that the failure domain has at most", min = 1.0)
     public val instancesInFailureDomain: Int = 1,
+    public val failureDomains: Int = 1,
 )
 
 /**
@@ -58,17 +60,23 @@
     public val tls: TlsSettings = TlsSettings(),
 )
 
-/** TLS on a port. Both files are set, or neither; without them the port speaks plain text. */
+/**
+ * TLS on the port for callers; off if nothing is set. Either both PEM files or both key store files are set.
+ *
+ * @property keyStoreFile key store in JKS or PKCS #12 format.
+ * @property keyStorePasswordFile file that holds the password of the key store and of its key.
+ */
 @Serializable
 public data class TlsSettings(
-    @Setting("PEM file with the chain of certificates; empty: plain text")
+    @Setting("PEM file with the chain of certificates; nothing set: no TLS")
     public val certificateFile: String = "",
-    @Setting("PEM file with the private key that belongs to the certificate; empty: plain text")
-    public val keyFile: String = "",
-) {
-    /** Whether the port speaks TLS. */
-    public val isEnabled: Boolean get() = certificateFile.isNotEmpty()
-}
+    @Setting("PEM file with the private key that belongs to the certificate")
+    public val privateKeyFile: String = "",
+    @Setting("Key store in JKS or PKCS #12 format, instead of PEM files")
+    public val keyStoreFile: String = "",
+    @Setting("File that holds the password of the key store and of its key")
+    public val keyStorePasswordFile: String = "",
+)
 
 /** Port for operators. */
 @Serializable
@@ -84,6 +92,9 @@
  *
  * @property fanOut peers that get a heartbeat in each interval.
  * @property deadAfterMs time without contact after which a peer counts as unreachable.
+ * @property heartbeatBytes upper bound of the encoded size of one heartbeat. With 3 peers in each second, 12 messages
+ * of this size, sent and received, and their HTTP/2 frames stay within 4 KB/s.
+ * @property seeds `host:port` of entry instances to contact at the start, for a start while the platform is down.
  */
 @Serializable
 public data class PeerSettings(
@@ -97,12 +108,19 @@
     public val fanOut: Int = 3,
     @Setting("Time without contact after which a peer counts as unreachable", min = 20.0)
     public val deadAfterMs: Long = 5_000,
+    public val heartbeatBytes: Int = 240,
+    public val connectTimeoutMs: Long = 500,
+    public val pingIntervalMs: Long = 1_000,
+    public val seeds: List<String> = emptyList(),
 )
 
 /**
  * The platform's service.
  *
  * @property url base URL, for example `http://127.0.0.1:7000`; empty: no platform, rules come from the embedding code.
+ * @property timeoutMs time after which the outcome of one request counts as unknown.
+ * @property maxBackoffMs longest wait between two attempts while the platform fails.
+ * @property claimTimeoutMs time after which a claim for an `Idempotency-Key` is given up as unknown.
  */
 @Serializable
 public data class PlatformSettings(
@@ -114,6 +132,8 @@
     public val listIntervalMs: Long = 2_000,
     @Setting("Time between two polls of the rules", min = 10.0)
     public val rulesIntervalMs: Long = 1_000,
+    public val maxBackoffMs: Long = 10_000,
+    public val claimTimeoutMs: Long = 2_000,
 )
 
 /**
@@ -136,15 +156,26 @@
     public val silentAfterMs: Long = 3_000,
     @Setting("Age of a decision beyond which a start is not sent any more", min = 1.0)
     public val maxDecisionAgeMs: Long = 500,
+    @Setting("Longest lease asked for at once; longer tasks have theirs renewed", min = 100.0)
     public val leaseMs: Long = 5_000,
+    @Setting("Threads that exchange messages with backend servers", min = 1.0, max = 64.0)
     public val threads: Int = 2,
 )
 
-/** How a stopping instance ends. [limitMs] is at least the longest timeout of a job, so that no request is cut. */
+/**
+ * How a stopping instance ends.
+ *
+ * @property limitMs time for running jobs and open requests to end; at least the longest timeout of a job, so that no
+ *   request is cut.
+ * @property settleMs time for which requests are still taken after the readiness check fails, so that the load balancer
+ *   can notice.
+ */
 @Serializable
 public data class DrainSettings(
     @Setting("Longest time for which a stopping instance waits for running jobs", min = 1.0)
     public val limitMs: Long = 65_000,
+    @Setting("Time for which requests are still taken after the readiness check fails", min = 0.0)
+    public val settleMs: Long = 1_000,
 )
 
 /** How log lines are written to standard output. */
