--- a/cli/src/main/kotlin/medlarroute/cli/Main.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -13,6 +13,10 @@
         RulesCommands(cli),
         SettingsCommands(cli),
         ReportCommands(cli),
+        TryCommand(cli),
+        StandinCommands(cli),
+        LoadCommand(cli),
+        CheckCommand(cli),
         VersionCommand(cli),
     )
 
