--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -82,10 +82,9 @@
     private val callerServer = callerServer()
     private val operatorServer = operatorServer()
 
-    /** An instance that stands alone unless the settings name a platform or peers to contact. */
-    public constructor(
-        settings: Settings,
-    ) : this(settings, Incarnation(System.currentTimeMillis()), extensionFor(settings))
+    /** An instance with peers and platform if the settings name the platform or peers, else without. */
+    public constructor(settings: Settings) :
+        this(settings, Incarnation(System.currentTimeMillis()), { PeerExtension.ofSettings(it) ?: Standalone() })
 
     /** Port that serves callers; known after [start]. */
     public val callerPort: Int get() = callerServer.activeLocalPort()
@@ -266,11 +265,6 @@
     private companion object {
         val log = LogManager.getLogger(EntryInstance::class.java)
 
-        fun extensionFor(settings: Settings): (InstanceParts) -> Extension {
-            val isAlone = settings.platform.url.isEmpty() && settings.peers.seeds.isEmpty()
-            return if (isAlone) { _ -> Standalone() } else ::PeerExtension
-        }
-
         /** Time for reading a body before the job's own timeout begins. */
         const val READ_MARGIN_MS = 5_000L
 
