Send starts over established connections only, and close idle connections after 60 s

The age of a decision was checked before the connection was opened, which takes up to the connect timeout and longer if the process is paused meanwhile. Idle connections were kept for ever, so more than 64 entry instances would have used up the connections of a backend server.

--- a/server/src/main/kotlin/medlarroute/server/BackendClient.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendClient.kt
@@ -34,7 +34,7 @@
         .workerGroup(threads, false)
         .maxNumEventLoopsPerEndpoint(1)
         .connectTimeoutMillis(settings.connectTimeoutMs)
-        .idleTimeoutMillis(0)
+        .idleTimeoutMillis(IDLE_LIMIT_MS)
         .build()
     private val lanes = ConcurrentHashMap<BackendId, BackendLane>()
 
@@ -75,6 +75,9 @@
 
     private companion object {
         val log = LogManager.getLogger(BackendClient::class.java)
+
+        /** All entry instances together may hold 64 connections to a backend server, so unused ones are closed. */
+        const val IDLE_LIMIT_MS = 60_000L
         const val SHUTDOWN_LIMIT_MS = 1_000L
     }
 }
--- a/server/src/main/kotlin/medlarroute/server/BackendConnection.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendConnection.kt
@@ -20,6 +20,7 @@
 internal class BackendConnection private constructor(private val channel: Channel) : ChannelInboundHandlerAdapter() {
     private var lastReadAt = TimeSource.Monotonic.markNow()
     private var requests = 0
+    private var goneAway = false
 
     /** True while a check of this connection is scheduled. */
     var watched = false
@@ -27,6 +28,9 @@
     /** True while requests wait for a reply. */
     val isInUse: Boolean get() = requests > 0 && channel.isActive
 
+    /** True if new requests go over this connection. */
+    val isUsable: Boolean get() = channel.isActive && !goneAway
+
     /** Time since the last byte arrived, or since the first of the waiting requests was sent if that is shorter. */
     fun quietFor(): Duration = lastReadAt.elapsedNow()
 
@@ -69,14 +73,14 @@
             channel.attr(KEY).set(connection)
             channel.pipeline().addFirst(connection)
             val handler = channel.pipeline().get(Http2ConnectionHandler::class.java) ?: return connection
-            handler.connection().addListener(GoAwayListener(onGoAway))
-            if (handler.connection().goAwayReceived()) onGoAway()
+            handler.connection().addListener(connection.GoAwayListener(onGoAway))
             return connection
         }
     }
 
-    private class GoAwayListener(private val onGoAway: () -> Unit) : Http2ConnectionAdapter() {
+    private inner class GoAwayListener(private val onGoAway: () -> Unit) : Http2ConnectionAdapter() {
         override fun onGoAwayReceived(lastStreamId: Int, errorCode: Long, debugData: ByteBuf) {
+            goneAway = true
             if (errorCode == Http2Error.NO_ERROR.code()) onGoAway()
         }
     }
--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -55,12 +55,63 @@
         .factory(factory)
         .build()
     private val attempts = HashMap<TaskId, Attempt>()
+    private var connection: BackendConnection? = null
     private var leaving = false
 
-    fun start(start: Effect.Start): Unit = eventLoop.execute { sendUnlessStale(start) }
+    /** Starts that wait for a connection; one is being opened if there are any. */
+    private val waiting = ArrayList<Effect.Start>()
+
+    fun start(start: Effect.Start): Unit = eventLoop.execute {
+        if (connection?.isUsable == true) sendUnlessStale(start) else sendOnceConnected(start)
+    }
 
     fun stop(task: TaskId): Unit = eventLoop.execute { sendStop(task) }
 
+    /** Starts are sent over established connections only, so that nothing delays them after their age was checked. */
+    private fun sendOnceConnected(start: Effect.Start) {
+        waiting += start
+        if (waiting.size > 1) return
+        try {
+            connect()
+        } catch (e: RuntimeException) {
+            log.warn("backend: no connection to {}", address.id, e)
+            connectionFailed()
+        }
+    }
+
+    /** The client library opens a connection for a request only; the reply to this one is of no account. */
+    private fun connect() {
+        val request = HttpRequest.of(RequestHeaders.of(HttpMethod.GET, "/v1/usage"))
+        val timeout = settings.silentAfterMs.milliseconds
+        execute(request, timeout, ::connected).aggregate().handle { _, _ -> onEventLoop(::connectionFailed) }
+    }
+
+    private fun connected(opened: BackendConnection) {
+        connection = opened
+        val starts = waiting.toList()
+        waiting.clear()
+        starts.forEach(::sendUnlessStale)
+    }
+
+    private fun connectionFailed() {
+        val starts = waiting.toList()
+        waiting.clear()
+        starts.forEach { notStarted(it.task, NotStartedReason.NOT_DELIVERED, null) }
+    }
+
+    /** Sends [request] and calls [onConnection] with the connection that it takes, if there is one. */
+    private fun execute(
+        request: HttpRequest,
+        timeout: Duration,
+        onConnection: (BackendConnection) -> Unit,
+    ): HttpResponse = Clients.newContextCaptor().use { captor ->
+        val response = client.execute(request, responseTimeout(timeout))
+        captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
+            log.channel()?.let { onEventLoop { onConnection(BackendConnection.of(it, ::goAwayReceived)) } }
+        }
+        response
+    }
+
     /** The process may have been paused since the decision, so its age is checked right before the send. */
     private fun sendUnlessStale(start: Effect.Start) {
         if (elapsed() - start.decidedAt > settings.maxDecisionAgeMs.milliseconds) {
@@ -75,13 +126,11 @@
         }
     }
 
-    private fun send(attempt: Attempt): Unit = Clients.newContextCaptor().use { captor ->
+    private fun send(attempt: Attempt) {
         val start = attempt.start
-        val response = client.execute(startRequest(start), responseTimeout(start.lease + REPLY_MARGIN))
-        captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
-            log.channel()?.let { onEventLoop { connected(attempt, BackendConnection.of(it, ::goAwayReceived)) } }
-        }
-        response.aggregate().handle { reply, cause -> onEventLoop { guard(attempt) { ended(attempt, reply, cause) } } }
+        execute(startRequest(start), start.lease + REPLY_MARGIN) { connected(attempt, it) }
+            .aggregate()
+            .handle { reply, cause -> onEventLoop { guard(attempt) { ended(attempt, reply, cause) } } }
     }
 
     /** An unexpected error proves nothing about the task, so it is lost; without a report it would stay open. */
