--- a/cli/src/main/kotlin/medlarroute/cli/Main.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -16,7 +16,7 @@
         TryCommand(cli),
         StandinCommands(cli),
         LoadCommand(cli),
-        CheckCommand(cli),
+        VerifyCommand(cli),
         VersionCommand(cli),
     )
 
--- a/cli/src/main/kotlin/medlarroute/cli/CheckCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/VerifyCommand.kt
@@ -6,8 +6,13 @@
 import medlarroute.lab.ScenarioChecker
 import java.nio.file.Path
 
-/** Checks the logs of a scenario for violations of the invariants. */
-internal class CheckCommand(cli: Cli) : Command("check", "Checks start logs against the answers of a load run", cli) {
+/**
+ * Checks the logs of a scenario for violations of the invariants.
+ *
+ * Not named `check`: kotlinx-cli takes the name of a top-level command anywhere in the arguments, so that `rules check`
+ * would no longer work.
+ */
+internal class VerifyCommand(cli: Cli) : Command("verify", "Checks start logs against the answers of a load run", cli) {
     private val starts by option(
         ArgType.String,
         "starts",
