--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -37,6 +37,7 @@
     public val quotaSlot: Int = 0,
     @Setting("Entry instances that the failure domain has at most", min = 1.0)
     public val instancesInFailureDomain: Int = 1,
+    @Setting("Failure domains that share the quotas", min = 1.0)
     public val failureDomains: Int = 1,
 )
 
@@ -94,6 +95,8 @@
  * @property deadAfterMs time without contact after which a peer counts as unreachable.
  * @property heartbeatBytes upper bound of the encoded size of one heartbeat. With 3 peers in each second, 12 messages
  * of this size, sent and received, and their HTTP/2 frames stay within 4 KB/s.
+ * @property pingIntervalMs interval of HTTP/2 PINGs on an idle connection. A connection whose PING has no reply within
+ *   it is given up together with the forwards on it, so it is longer than the pauses of a healthy process.
  * @property seeds `host:port` of entry instances to contact at the start, for a start while the platform is down.
  */
 @Serializable
@@ -108,9 +111,13 @@
     public val fanOut: Int = 3,
     @Setting("Time without contact after which a peer counts as unreachable", min = 20.0)
     public val deadAfterMs: Long = 5_000,
+    @Setting("Upper bound of the size of one heartbeat", min = 200.0)
     public val heartbeatBytes: Int = 240,
+    @Setting("Time for connecting to a peer", min = 1.0)
     public val connectTimeoutMs: Long = 500,
-    public val pingIntervalMs: Long = 1_000,
+    @Setting("Time between two PINGs on an idle connection to a peer", min = 1000.0)
+    public val pingIntervalMs: Long = 2_000,
+    @Setting("Entry instances to contact at the start, as host:port")
     public val seeds: List<String> = emptyList(),
 )
 
@@ -132,7 +139,9 @@
     public val listIntervalMs: Long = 2_000,
     @Setting("Time between two polls of the rules", min = 10.0)
     public val rulesIntervalMs: Long = 1_000,
+    @Setting("Longest wait between two attempts while the platform fails", min = 10.0)
     public val maxBackoffMs: Long = 10_000,
+    @Setting("Time after which a claim of an Idempotency-Key is given up", min = 1.0)
     public val claimTimeoutMs: Long = 2_000,
 )
 
@@ -165,14 +174,12 @@
 /**
  * How a stopping instance ends.
  *
- * @property limitMs time for running jobs and open requests to end; at least the longest timeout of a job, so that no
- *   request is cut.
- * @property settleMs time for which requests are still taken after the readiness check fails, so that the load balancer
- *   can notice.
+ * @property limitMs at least the longest timeout of a job, so that no request is cut.
+ * @property settleMs time that the load balancer has to notice that the readiness check fails.
  */
 @Serializable
 public data class DrainSettings(
-    @Setting("Longest time for which a stopping instance waits for running jobs", min = 1.0)
+    @Setting("Longest time for which a stopping instance waits for running jobs and open requests", min = 1.0)
     public val limitMs: Long = 65_000,
     @Setting("Time for which requests are still taken after the readiness check fails", min = 0.0)
     public val settleMs: Long = 1_000,
