--- a/cli/src/main/kotlin/medlarroute/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/ServeCommand.kt
@@ -5,7 +5,6 @@
 import medlarroute.core.Settings
 import medlarroute.core.SettingsReader
 import medlarroute.server.EntryInstance
-import medlarroute.server.connectedInstance
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.CompletionException
 import java.util.concurrent.CountDownLatch
@@ -42,9 +41,7 @@
 
     private fun started(settings: Settings): EntryInstance =
         try {
-            val isAlone = settings.platform.url.isEmpty()
-            val instance = if (isAlone) EntryInstance(settings) else connectedInstance(settings)
-            instance.also { it.start() }
+            EntryInstance(settings).also { it.start() }
         } catch (e: IllegalArgumentException) {
             throw CliFailure(ExitCode.BAD_INPUT, "$settingsFile:1:1: ${e.message}", e)
         } catch (e: CompletionException) {
--- a/server/src/main/kotlin/medlarroute/server/BackendClient.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendClient.kt
@@ -45,7 +45,7 @@
             if (lane != null) return lane.start(start)
         } catch (e: RuntimeException) {
             // Nothing was handed to the lane: its address can't be used, or its event loop has ended.
-            log.warn("backend: no task can be sent to {}", start.backend, e)
+            loggedWith(start.task.submission) { log.warn("backend: no task can be sent to {}", start.backend, e) }
         }
         observer.notStarted(NotStartedReason.NOT_DELIVERED)
         sink.offer(Input.TaskNotStarted(start.task, NotStartedReason.NOT_DELIVERED))
--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -89,7 +89,9 @@
         try {
             action()
         } catch (e: RuntimeException) {
-            log.error("backend: {} failed on {}", attempt.start.task, address.id, e)
+            loggedWith(attempt.start.task.submission) {
+                log.error("backend: {} failed on {}", attempt.start.task, address.id, e)
+            }
             lost(attempt, "internal error: $e")
         }
     }
--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -227,11 +227,16 @@
             when (effect) {
                 is Effect.Start -> backends.start(effect)
                 is Effect.Stop -> backends.stop(effect)
-                is Effect.Answered -> answers.execute { jobs.answered(effect.submission, effect.answer) }
+                is Effect.Answered -> answers.execute { answered(effect) }
             }
         }
     }
 
+    private fun answered(effect: Effect.Answered) {
+        log.answered(effect.submission, effect.answer)
+        jobs.answered(effect.submission, effect.answer)
+    }
+
     /** Passes inputs to the engine and notes what status and metrics show of them. */
     private inner class EngineSink :
         JobService.JobSink,
--- a/server/src/main/kotlin/medlarroute/server/JobService.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -12,6 +12,7 @@
 import medlarroute.core.SubmissionId
 import medlarroute.core.SubmissionRegistry
 import medlarroute.core.SuccessorRecords
+import org.apache.logging.log4j.LogManager
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
@@ -76,6 +77,7 @@
     }
 
     override fun handle(request: CallerRequest): CompletableFuture<CallerReply> {
+        log.debugAbout(request.submission) { "http: ${request.operation} of ${request.caller} at its home" }
         if (!isHomeOf(request.submission)) return CompletableFuture.completedFuture(replay(request))
         return when (request.operation) {
             Operation.SUBMIT -> submit(request)
@@ -213,6 +215,8 @@
     private fun digestOf(body: ByteArray): Long = Hashing.komihash5_0().hashBytesToLong(body)
 
     private companion object {
+        val log = LogManager.getLogger(JobService::class.java)
+
         /** Lets the engine answer first: its answer at the deadline tells more than the one given here. */
         val ANSWER_GRACE = 100.milliseconds
         val INBOX_FULL = Answer.Refused(
--- a/server/src/main/kotlin/medlarroute/server/PeerForwarder.kt
+++ b/server/src/main/kotlin/medlarroute/server/PeerForwarder.kt
@@ -40,6 +40,7 @@
         }
 
     private fun send(request: CallerRequest, to: EntryMember, toSuccessor: Boolean): CompletableFuture<CallerReply> {
+        log.debugAbout(request.submission) { "peer: ${request.operation} forwarded to ${to.instance}" }
         val address = PeerAddress(to.host, to.peerPort)
         val call = client.forward(address, message(request, toSuccessor), request.timeout)
         return call.handle { reply, cause ->
@@ -52,7 +53,7 @@
         if (status.code == Status.Code.DEADLINE_EXCEEDED) {
             return failure(request.submission, FailureCode.DEADLINE, "the home ${to.instance} did not answer in time")
         }
-        log.warn("peer: forward to {} failed: {}", to.instance, status)
+        loggedWith(request.submission) { log.warn("peer: forward to {} failed: {}", to.instance, status) }
         return failure(request.submission, FailureCode.HOME_LOST, "the home ${to.instance} can't be reached")
     }
 
