--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -218,7 +218,10 @@
         Input.TaskDone(task, message.output, message.runMs.coerceAtLeast(0.0).milliseconds, usage)
 
     private fun lost(attempt: Attempt, message: String): Unit =
-        finish(attempt) { sink.offer(Input.TaskLost(it, message)) }
+        finish(attempt) { task ->
+            loggedWith(task.submission) { log.warn("backend: {} is lost on {}: {}", task, address.id, message) }
+            sink.offer(Input.TaskLost(task, message))
+        }
 
     /** The only place where an attempt ends, so that the engine gets one input for each start. */
     private fun finish(attempt: Attempt, report: (TaskId) -> Unit) {
--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.server.Server
 import medlarroute.core.BackendId
 import medlarroute.core.BackendServer
+import medlarroute.core.BurnMeter
 import medlarroute.core.Effect
 import medlarroute.core.Engine
 import medlarroute.core.FailureDomainId
@@ -10,6 +11,7 @@
 import medlarroute.core.Input
 import medlarroute.core.InstanceId
 import medlarroute.core.Job
+import medlarroute.core.JobOutcome
 import medlarroute.core.Rules
 import medlarroute.core.Settings
 import medlarroute.core.SubmissionId
@@ -71,7 +73,8 @@
         settings.engine.defaultTimeoutMs.milliseconds,
         settings.engine.maxTimeoutMs.milliseconds,
     )
-    private val jobs = JobService(identity, registry, successors, engineSink, limits, metrics)
+    private val burn = BurnMeter(settings.report.objectives, identity.instance, identity.incarnation)
+    private val jobs = JobService(identity, registry, successors, engineSink, limits, Recorder())
     private val extension =
         extend(InstanceParts(settings, identity, engineSink, registry, successors, jobs, metrics.registry))
     private val backends =
@@ -79,9 +82,9 @@
     private val callerServer = callerServer()
     private val operatorServer = operatorServer()
 
-    /** An instance without peers and platform. */
+    /** An instance with peers and platform if the settings name the platform or peers, else without. */
     public constructor(settings: Settings) :
-        this(settings, Incarnation(System.currentTimeMillis()), { Standalone() })
+        this(settings, Incarnation(System.currentTimeMillis()), { PeerExtension.ofSettings(it) ?: Standalone() })
 
     /** Port that serves callers; known after [start]. */
     public val callerPort: Int get() = callerServer.activeLocalPort()
@@ -188,6 +191,7 @@
         val api = OperatorApi(metrics.registry, loop::isAlive, ::status, extension::addOperatorServices)
         val builder = Server.builder().http(InetSocketAddress(settings.operators.host, settings.operators.port))
         api.addTo(builder)
+        builder.service(BurnReportService.PATH, BurnReportService(burn))
         return builder.build()
     }
 
@@ -253,6 +257,13 @@
         }
     }
 
+    private inner class Recorder : JobRecorder by metrics {
+        override fun ended(record: JobRecord) {
+            metrics.ended(record)
+            burn.answered(JobOutcome.of(record.job.caller, record.job.kind, record.elapsed, record.answer))
+        }
+    }
+
     private inner class Replies : BackendObserver by metrics {
         override fun replied(reply: BackendReply): Unit = extension.backendReplied(reply)
     }
--- a/server/src/main/kotlin/medlarroute/server/JobObserver.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobRecorder.kt
@@ -21,7 +21,7 @@
 )
 
 /** Told of the course of jobs, for metrics. Thread-safe and non-blocking. */
-internal interface JobObserver {
+internal interface JobRecorder {
     /** A job has ended. */
     fun ended(record: JobRecord)
 
@@ -31,7 +31,7 @@
     /** [messages] were exchanged for a task whose job had ended before. */
     fun stray(messages: Int)
 
-    object None : JobObserver {
+    object None : JobRecorder {
         override fun ended(record: JobRecord): Unit = Unit
 
         override fun malformed(caller: CallerId): Unit = Unit
--- a/server/src/main/kotlin/medlarroute/server/JobService.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -33,7 +33,7 @@
     private val successors: SuccessorRecords,
     private val loop: JobSink,
     private val limits: JobLimits,
-    private val observer: JobObserver = JobObserver.None,
+    private val recorder: JobRecorder = JobRecorder.None,
     private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) : HomeHandler {
     /** Where new jobs and cancellations go. Thread-safe and non-blocking. */
@@ -90,7 +90,7 @@
     fun answered(submission: SubmissionId, answer: Answer) {
         registry.end(submission, answer)
         val entry = pending.remove(submission)
-        entry?.account?.let { observer.ended(it.close(answer)) }
+        entry?.account?.let { recorder.ended(it.close(answer)) }
         entry?.answer?.complete(answer)
         closed()
     }
@@ -98,7 +98,7 @@
     /** Counts the messages of a start that has ended. */
     fun taskEnded(reply: TaskReply) {
         val account = pending[reply.task.submission]?.account
-        if (account == null) observer.stray(reply.messages) else account.add(reply)
+        if (account == null) recorder.stray(reply.messages) else account.add(reply)
     }
 
     private fun closed() {
@@ -107,7 +107,7 @@
 
     private fun isHomeOf(submission: SubmissionId): Boolean {
         val ticket = submission.ticket
-        return ticket.instance == home.instance && ticket.incarnation == home.incarnation
+        return SubmissionRegistry.Home(ticket.failureDomain, ticket.instance, ticket.incarnation) == home
     }
 
     private fun replay(request: CallerRequest): CallerReply {
@@ -134,7 +134,7 @@
         val submission = request.submission
         val entry = pending.computeIfAbsent(submission) { Pending() }
         val body = JobBody.parse(request.body, limits).getOrElse { findings ->
-            observer.malformed(request.caller)
+            recorder.malformed(request.caller)
             answered(submission, Answer.Refused(findings))
             return await(submission, entry, request.timeout)
         }
@@ -212,8 +212,6 @@
 
     private fun closedCode() = if (draining) RefusalCode.DRAINING else RefusalCode.TICKET_CLOSED
 
-    private fun digestOf(body: ByteArray): Long = Hashing.komihash5_0().hashBytesToLong(body)
-
     private companion object {
         val log = LogManager.getLogger(JobService::class.java)
 
@@ -225,3 +223,6 @@
         )
     }
 }
+
+/** Digest by which the registry tells whether a submission id is used again with another request. */
+internal fun digestOf(body: ByteArray): Long = Hashing.komihash5_0().hashBytesToLong(body)
