Replace the naive policy by estimates, admission, quotas and shared slots

Change: indexed backend server table (tournament tree per failure domain), heaps for jobs, deadlines and timers; run-time and speed estimates; order by remaining work with ageing; admission by predicted completion; token buckets for quotas; free slots presumed from reported usage, with a limited number of guesses; locality, slot shares, ejection with single probes, slow start, retry budget and back-off. Each can be switched off for a measurement. Property tests replay random runs; they found a job that was cancelled in the tick of its last result being answered twice. Wasted messages stay above their target with jobs of up to 110 tasks on 256 slots.

--- a/core/src/main/kotlin/medlarroute/core/AdmissionSystem.kt
+++ b/core/src/main/kotlin/medlarroute/core/AdmissionSystem.kt
@@ -1,46 +1,131 @@
 package medlarroute.core
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Admits whole jobs or refuses them with all reasons. */
-internal class AdmissionSystem(private val settings: EngineSettings, private val tables: Tables) {
-    fun submit(job: Job, now: Duration) {
+internal class AdmissionSystem(
+    private val settings: EngineSettings,
+    private val tables: Tables,
+    private val pool: BackendPool,
+    private val deadlines: DeadlineSystem,
+    private val placement: PlacementSystem,
+) {
+    private val off = settings.disabled
+
+    fun submit(job: Job, nowNs: Long) {
         if (job.submission in tables.jobs) return
         val rules = tables.rules
-        val row = JobRow(job, rules?.teamOf(job.caller) ?: TeamId(job.caller.value), now)
-        val findings = findings(job, rules)
-        if (findings.isNotEmpty()) row.outcome = Answer.Refused(findings)
-        row.admitted = findings.isEmpty()
+        val row = JobRow(job, rules?.teamOf(job.caller) ?: TeamId(job.caller.value), nowNs)
         tables.addJob(row)
+        val refused = refusalOrNull(row, rules, nowNs)
+        if (refused != null) return tables.end(row, refused)
+        row.admitted = true
+        deadlines.add(row)
+        placement.enqueue(row)
     }
 
-    fun run(now: Duration) {
-        check(now >= Duration.ZERO)
+    private fun refusalOrNull(job: JobRow, rules: Rules?, nowNs: Long): Answer.Refused? {
+        if (rules == null) {
+            return Answer.Refused(listOf(Refusal(RefusalCode.NO_RULES, "rules", "this instance has no rules yet")))
+        }
+        val findings = limits(job.spec, rules)
+        if (findings.isNotEmpty()) return Answer.Refused(findings)
+        estimate(job, rules)
+        return overloadOrNull(job, nowNs) ?: quotaOrNull(job, rules, nowNs)
     }
 
-    private fun findings(job: Job, rules: Rules?): List<Refusal> {
-        if (rules == null) return listOf(Refusal(RefusalCode.NO_RULES, "rules", "this instance has no rules yet"))
+    private fun limits(job: Job, rules: Rules): List<Refusal> {
         val findings = ArrayList<Refusal>()
         if (job.tasks.size !in 1..settings.maxTasksPerJob) {
             val message = "a job has 1 to ${settings.maxTasksPerJob} tasks, this one has ${job.tasks.size}"
             findings += Refusal(RefusalCode.MALFORMED, "tasks", message)
         }
-        if (tables.jobs.size >= settings.maxOpenJobs) {
+        if (tables.jobs.size > settings.maxOpenJobs) {
             findings += Refusal(RefusalCode.OVERLOAD, "job", "${settings.maxOpenJobs} jobs are open on this instance")
         }
         val callerLimit = rules.openJobLimits[job.caller] ?: settings.maxOpenJobsPerCaller
-        if (tables.openJobsByCaller.getOrDefault(job.caller, 0) >= callerLimit) {
+        if (tables.openJobsByCaller.getOrDefault(job.caller, 0) > callerLimit) {
             findings += Refusal(RefusalCode.CALLER_LIMIT, "caller", "the caller has $callerLimit open jobs")
         }
-        if (!canRun(job, rules)) {
+        val route = rules.routeOf(job.caller, job.kind)
+        if (route != null && !pool.hasAllowed(route.failureDomains)) {
             val message = "the rules allow no known backend server for kind ${job.kind}"
             findings += Refusal(RefusalCode.CAN_NEVER_RUN, "kind", message)
         }
         return findings
     }
 
-    private fun canRun(job: Job, rules: Rules): Boolean {
-        val route = rules.routeOf(job.caller, job.kind) ?: return true
-        return tables.backends.values.any { it.info.failureDomain in route.failureDomains }
+    private fun estimate(job: JobRow, rules: Rules) {
+        val kind = tables.kinds.of(job.spec.kind)
+        val given = rules.lengthClasses[job.spec.kind]
+        val longNs = (tables.kinds.all.medianNs() * LONG_FACTOR).coerceAtLeast(MIN_LONG_NS)
+        for (task in job.tasks) {
+            val declaredNs = if (Mechanism.DECLARED in off) null else task.spec.declared?.toNs()
+            task.estimateNs = kind.estimateNs(declaredNs).toLong()
+            task.isLong = if (given == null) task.estimateNs >= longNs else given == LengthClass.LONG
+        }
+    }
+
+    /** Refuses a job that would end after its deadline, going by the queued work and the slots of this instance. */
+    private fun overloadOrNull(job: JobRow, nowNs: Long): Answer.Refused? {
+        if (Mechanism.ADMISSION in off) return null
+        // If tasks have waited for a while, the slots presumed free are not open to this instance.
+        val slots = tables.outstanding + if (placement.isBacklogged(nowNs)) 0.0 else pool.freeSlots
+        val timeoutNs = job.spec.timeout.toNs().toDouble()
+        val waitNs = tables.queuedWorkNs / slots.coerceAtLeast(1.0)
+        val ownNs = job.tasks.sumOf { it.estimateNs } / slots.coerceAtLeast(1.0)
+        val longestNs = tables.kinds.of(job.spec.kind).longestNs(job.tasks.size)
+        val endNs = waitNs + maxOf(ownNs, longestNs)
+        val excessNs = maxOf(
+            endNs - timeoutNs * settings.admissionMargin,
+            waitNs - timeoutNs * settings.maxQueueWaitRatio,
+        )
+        val isIdle = tables.outstanding == 0 && tables.queuedTasks == 0
+        if (excessNs <= 0 || isIdle) return null
+        val endMs = endNs.toLong() / NS_PER_MS
+        val message = "predicted to end after $endMs ms, too late for a timeout of ${job.spec.timeout}"
+        val retryAfter = excessNs.toLong().nanoseconds.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        return Answer.Refused(listOf(Refusal(RefusalCode.OVERLOAD, "job", message)), retryAfter)
+    }
+
+    private fun quotaOrNull(job: JobRow, rules: Rules, nowNs: Long): Answer.Refused? {
+        if (Mechanism.QUOTAS in off || job.team !in rules.quotas) return null
+        val rate = tables.shares[job.team] ?: 0.0
+        val team = tables.teams.getOrPut(job.team) { TeamRow() }
+        fill(team, rate, nowNs)
+        val tasks = job.tasks.size
+        if (team.tokens >= tasks) {
+            team.tokens -= tasks
+            return null
+        }
+        job.aboveQuota = true
+        if (hasSpareSlots(tasks)) return null
+        val message = "team ${job.team} is above its share of $rate starts/s and no slots are spare"
+        val waitSeconds = if (rate > 0) (tasks - team.tokens) / rate else MAX_RETRY_AFTER.inWholeSeconds.toDouble()
+        val retryAfter = waitSeconds.seconds.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        return Answer.Refused(listOf(Refusal(RefusalCode.QUOTA, "team", message)), retryAfter)
+    }
+
+    private fun fill(team: TeamRow, rate: Double, nowNs: Long) {
+        val most = maxOf(rate * BURST_SECONDS, settings.maxTasksPerJob * BURST_JOBS)
+        val filled = if (team.filledNs == NEVER_NS) most else (nowNs - team.filledNs) * rate / NS_PER_SECOND
+        team.tokens = (team.tokens + filled).coerceAtMost(most)
+        team.filledNs = nowNs
+    }
+
+    /** A started task is not displaced any more, so work above a quota leaves slots for the teams within theirs. */
+    private fun hasSpareSlots(tasks: Int): Boolean =
+        tables.queuedTasks == 0 && pool.freeSlots - tasks >= (tables.outstanding + pool.freeSlots) * SPARE_RATIO
+
+    private companion object {
+        const val LONG_FACTOR = 8.0
+        const val MIN_LONG_NS = 500.0 * NS_PER_MS
+        const val BURST_SECONDS = 2.0
+        const val BURST_JOBS = 2.0
+        const val SPARE_RATIO = 0.4
+        val MIN_RETRY_AFTER: Duration = (20 * NS_PER_MS).nanoseconds
+        val MAX_RETRY_AFTER: Duration = 10.seconds
     }
 }
--- a/core/src/main/kotlin/medlarroute/core/AnswerSystem.kt
+++ b/core/src/main/kotlin/medlarroute/core/AnswerSystem.kt
@@ -1,22 +1,30 @@
 package medlarroute.core
 
 /** Emits the one answer of each job that has ended and stops what still runs of it. */
-internal class AnswerSystem(private val tables: Tables) {
-    fun run(effects: MutableList<Effect>) {
-        val ended = tables.jobs.values.filter { it.outcome != null || it.openTasks == 0 }
-        for (job in ended) {
+internal class AnswerSystem(
+    private val tables: Tables,
+    private val pool: BackendPool,
+    private val backends: BackendSystem,
+    private val placement: PlacementSystem,
+) {
+    fun run(nowNs: Long, effects: MutableList<Effect>) {
+        for (job in tables.ended) {
             effects += Effect.Answered(job.spec.submission, job.outcome ?: complete(job))
-            job.tasks.forEach { stop(it, effects) }
+            placement.discard(job)
+            job.tasks.forEach { stop(it, nowNs, effects) }
             tables.removeJob(job)
         }
+        tables.ended.clear()
     }
 
     private fun complete(job: JobRow): Answer = Answer.Complete(job.tasks.map { checkNotNull(it.output) })
 
-    private fun stop(task: TaskRow, effects: MutableList<Effect>) {
+    private fun stop(task: TaskRow, nowNs: Long, effects: MutableList<Effect>) {
         val backend = task.backend ?: return
-        backend.started.remove(task)
-        backend.outstanding--
+        task.backend = null
+        pool.released(backend)
+        pool.update(backend, nowNs)
+        backends.forgetIfIdle(backend)
         effects += Effect.Stop(task.id, backend.id)
     }
 }
--- a/core/src/main/kotlin/medlarroute/core/DeadlineSystem.kt
+++ b/core/src/main/kotlin/medlarroute/core/DeadlineSystem.kt
@@ -1,35 +1,36 @@
 package medlarroute.core
 
 import java.util.PriorityQueue
-import kotlin.time.Duration
 
 /** Ends jobs whose deadline has passed and jobs that were cancelled. */
 internal class DeadlineSystem(private val tables: Tables) {
-    private val byDeadline = PriorityQueue<JobRow>(compareBy { it.deadline })
-    private var scanned = HashSet<SubmissionId>()
+    private val byDeadline = PriorityQueue<JobRow>(compareBy { it.deadlineNs })
+
+    fun add(job: JobRow) {
+        byDeadline += job
+    }
 
     fun cancel(submission: SubmissionId) {
-        val job = tables.jobs[submission] ?: return
-        if (job.outcome != null) return
-        job.outcome =
+        val job = tables.jobs[submission]?.takeIf { !it.isEnded } ?: return
+        val answer =
             if (job.mayHaveRun) {
                 Answer.Failed(FailureCode.CANCELLED, "cancelled by the caller")
             } else {
                 Answer.Refused(listOf(Refusal(RefusalCode.CANCELLED, "job", "cancelled by the caller")))
             }
+        tables.end(job, answer)
     }
 
-    fun run(now: Duration) {
-        tables.jobs.values.filter { scanned.add(it.spec.submission) }.forEach(byDeadline::add)
+    fun run(nowNs: Long) {
         while (true) {
-            val job = byDeadline.peek()?.takeIf { it.deadline <= now || it.outcome != null } ?: return
+            val job = byDeadline.peek() ?: return
+            if (job.deadlineNs > nowNs && !job.isEnded) return
             byDeadline.remove()
-            scanned.remove(job.spec.submission)
-            if (job.outcome == null) job.outcome = expired(job)
+            if (!job.isEnded) tables.end(job, expired(job))
         }
     }
 
-    fun nextDeadline(): Duration? = byDeadline.peek()?.deadline
+    fun nextDeadlineNs(): Long? = byDeadline.peek()?.deadlineNs
 
     private fun expired(job: JobRow): Answer =
         if (job.mayHaveRun) {
--- a/core/src/main/kotlin/medlarroute/core/ReplySystem.kt
+++ b/core/src/main/kotlin/medlarroute/core/ReplySystem.kt
@@ -1,65 +1,83 @@
 package medlarroute.core
 
-import kotlin.time.Duration.Companion.milliseconds
-
 /** Takes in replies of backend servers. Replies for tasks that are not started, or not any more, are ignored. */
-internal class ReplySystem(private val settings: EngineSettings, private val tables: Tables) {
-    private var firstSends = 0L
-    private var repeatedSends = 0L
-
-    fun done(reply: Input.TaskDone) {
-        val task = release(reply.task) ?: return
+internal class ReplySystem(
+    private val tables: Tables,
+    private val pool: BackendPool,
+    private val backends: BackendSystem,
+    private val placement: PlacementSystem,
+) {
+    fun done(reply: Input.TaskDone, nowNs: Long) {
+        val task = startedOrNull(reply.task) ?: return
+        val backend = release(task)
         task.state = TaskState.DONE
         task.output = reply.output
-        task.job.openTasks--
+        learn(task, backend, reply.runTime.toNs().toDouble())
+        pool.recordUsage(backend, reply.usage, nowNs)
+        backends.succeeded(backend, nowNs)
+        backends.forgetIfIdle(backend)
+        if (--task.job.openTasks == 0) tables.end(task.job, null)
     }
 
-    fun failed(reply: Input.TaskFailed) {
-        val task = release(reply.task) ?: return
+    fun failed(reply: Input.TaskFailed, nowNs: Long) {
+        val task = startedOrNull(reply.task) ?: return
+        val backend = release(task)
         task.state = TaskState.FAILED
-        fail(task.job, Answer.Failed(FailureCode.TASK_FAILED, "task ${task.id.index}: ${reply.message}"))
+        pool.recordUsage(backend, reply.usage, nowNs)
+        countFailure(task, backend, nowNs)
+        end(task, Answer.Failed(FailureCode.TASK_FAILED, "task ${task.id.index}: ${reply.message}"))
     }
 
-    fun lost(reply: Input.TaskLost) {
-        val task = release(reply.task) ?: return
+    fun lost(reply: Input.TaskLost, nowNs: Long) {
+        val task = startedOrNull(reply.task) ?: return
+        val backend = release(task)
         task.state = TaskState.LOST
-        fail(task.job, Answer.Failed(FailureCode.TASK_LOST, "task ${task.id.index}: ${reply.message}"))
+        countFailure(task, backend, nowNs)
+        end(task, Answer.Failed(FailureCode.TASK_LOST, "task ${task.id.index}: ${reply.message}"))
     }
 
-    fun notStarted(reply: Input.TaskNotStarted) {
-        val task = release(reply.task) ?: return
+    fun notStarted(reply: Input.TaskNotStarted, nowNs: Long) {
+        val task = startedOrNull(reply.task) ?: return
+        val backend = release(task)
         task.state = TaskState.QUEUED
         task.mayHaveRun = false
-        if (task.sends == 1) firstSends++ else repeatedSends++
-        // A retry budget keeps an outage of many backend servers from multiplying the load on the others.
-        if (repeatedSends <= firstSends * settings.retryBudgetRatio + MIN_RETRIES) return
-        val message = "no backend server took the task within the retry budget"
-        fail(task.job, overload(task, message))
-    }
-
-    private fun overload(task: TaskRow, message: String): Answer =
-        if (task.job.mayHaveRun) {
-            Answer.Failed(FailureCode.TASK_LOST, "task ${task.id.index}: $message")
-        } else {
-            Answer.Refused(listOf(Refusal(RefusalCode.OVERLOAD, "tasks[${task.id.index}]", message)), RETRY_AFTER)
+        placement.requeue(task)
+        when (reply.reason) {
+            NotStartedReason.BUSY -> pool.recordBusy(backend, nowNs)
+            NotStartedReason.LEAVING -> backends.leaving(backend.id, nowNs)
+            NotStartedReason.NOT_DELIVERED -> backends.failed(backend, tables.kinds.of(task.job.spec.kind), nowNs)
+            NotStartedReason.STALE -> Unit
         }
+        backends.returned(backend, nowNs)
+        pool.update(backend, nowNs)
+        backends.forgetIfIdle(backend)
+    }
 
-    private fun release(id: TaskId): TaskRow? {
-        val task = tables.taskOrNull(id)?.takeIf { it.state == TaskState.STARTED } ?: return null
-        val backend = task.backend ?: return null
-        backend.started.remove(task)
-        backend.outstanding--
-        task.backend = null
-        return task
+    private fun learn(task: TaskRow, backend: BackendRow, runNs: Double) {
+        val kind = tables.kinds.of(task.job.spec.kind)
+        val declaredNs = task.spec.declared?.toNs()
+        if (kind.isKnown) pool.recordSpeed(backend, kind.expectedLog(declaredNs), runNs)
+        val normalNs = runNs * pool.speed(backend)
+        kind.record(normalNs, declaredNs)
+        tables.kinds.all.record(normalNs, null)
     }
 
-    private fun fail(job: JobRow, answer: Answer) {
-        if (job.outcome == null) job.outcome = answer
+    private fun countFailure(task: TaskRow, backend: BackendRow, nowNs: Long) {
+        val kind = tables.kinds.of(task.job.spec.kind)
+        kind.recordFailure()
+        backends.failed(backend, kind, nowNs)
+        backends.forgetIfIdle(backend)
     }
 
-    private companion object {
-        /** Repeated sends that are always allowed, so that a small load can retry at all. */
-        const val MIN_RETRIES = 100
-        val RETRY_AFTER = 100.milliseconds
+    private fun end(task: TaskRow, answer: Answer) = tables.end(task.job, answer)
+
+    private fun startedOrNull(id: TaskId): TaskRow? =
+        tables.taskOrNull(id)?.takeIf { it.state == TaskState.STARTED && it.backend != null }
+
+    private fun release(task: TaskRow): BackendRow {
+        val backend = checkNotNull(task.backend)
+        pool.released(backend)
+        task.backend = null
+        return backend
     }
 }
--- a/lab/src/main/kotlin/medlarroute/lab/Experiment.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/Experiment.kt
@@ -83,7 +83,10 @@
         val rules = Rules(version = 1, teams = (0 until teams).associate { CallerId("c$it") to TeamId("t$it") })
         val quotas = (0 until teams).associate { TeamId("t$it") to scenario.teamQuota }
         for (instance in instances) {
-            val shares = quotas.mapValues { it.value * scenario.instanceShare(instance.index) }
+            val shares = quotas.mapValues {
+                it.value *
+                    (if (policy.isPooled) 1.0 else scenario.instanceShare(instance.index))
+            }
             val seen = backends.map { Input.BackendSeen(info(it)) }
             val inputs = listOf(Input.RulesChanged(rules.copy(quotas = quotas)), Input.SharesChanged(shares)) + seen
             at(0) { tick(instance, inputs) }
@@ -101,7 +104,7 @@
     }
 
     private fun submit(job: SimJob) {
-        val instance = instances[job.instance]
+        val instance = instances[if (policy.isPooled) 0 else job.instance]
         val submission = SubmissionId(instance.ticket, job.number + 1L)
         val tasks = List(job.sizesNs.size) { TaskSpec("", job.declaredNs?.get(it)?.nanoseconds) }
         val spec = Job(submission, CallerId("c${job.team}"), KindId(job.kind), job.timeoutNs.nanoseconds, tasks)
@@ -220,7 +223,7 @@
     val clock: TestTimeSource,
 )
 
-/** A named way to make the [Dispatcher] of an instance. */
-internal class Policy(val name: String, val create: (PolicyContext) -> Dispatcher)
+/** A named way to make the [Dispatcher] of an instance; a pooled one sends all jobs to a single instance. */
+internal class Policy(val name: String, val isPooled: Boolean = false, val create: (PolicyContext) -> Dispatcher)
 
 internal fun Answer.isComplete(): Boolean = this is Answer.Complete
--- a/lab/src/main/kotlin/medlarroute/lab/RunExperiment.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/RunExperiment.kt
@@ -2,6 +2,7 @@
 
 import medlarroute.core.Engine
 import medlarroute.core.EngineSettings
+import medlarroute.core.Mechanism
 import java.io.File
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
@@ -56,16 +57,28 @@
     return names.map { Experiment(scenario, policy(it), ideal).run() }
 }
 
+/** `without-long-separation` is the engine without [Mechanism.LONG_SEPARATION], and so on for each mechanism. */
 private fun policy(name: String): Policy {
     val pick = BASELINES[name]
     if (pick != null) return Policy(name) { BaselineDispatcher(pick, it.clock, Random(it.instance)) }
-    require(name == ENGINE) { "unknown policy: $name" }
-    return Policy(name) {
-        val settings = EngineSettings(failureDomain = it.failureDomain)
-        EngineDispatcher(Engine(settings, it.clock, Random(it.instance)))
+    val settings = engineSettings(name)
+    return Policy(name, isPooled = name == POOLED) {
+        EngineDispatcher(Engine(settings.copy(failureDomain = it.failureDomain), it.clock, Random(it.instance)))
     }
 }
 
+private fun engineSettings(name: String): EngineSettings {
+    if (name == ENGINE || name == POOLED) return EngineSettings()
+    val mechanism = Mechanism.entries.firstOrNull { name == WITHOUT + it.name.lowercase().replace('_', '-') }
+    requireNotNull(mechanism) { "unknown policy: $name" }
+    return EngineSettings(disabled = setOf(mechanism))
+}
+
+/** One engine decides for all instances: what instances that see each other's starts could reach. */
+private const val POOLED = "pooled"
+
+private const val WITHOUT = "without-"
+
 /** Runs the experiment without the command line binary: `runExperiment [--policies a,b] [--out dir] file...`. */
 public fun main(arguments: Array<String>) {
     val policies = arguments.indexOf("--policies").takeIf { it >= 0 }?.let { arguments[it + 1].split(',') }.orEmpty()
