Ask for the state of a task again when the query fails, unless the connection is refused

The query is now repeated for the time after which a connection counts as silent. A refused connection still loses the task at once. Further tests show that a failed handshake does not keep a backend server out.

--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -17,6 +17,7 @@
 import com.linecorp.armeria.common.SessionProtocol
 import com.linecorp.armeria.common.logging.RequestLogProperty
 import com.linecorp.armeria.common.util.Exceptions
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.util.concurrent.ScheduledFuture
 import kotlinx.serialization.SerializationException
@@ -27,10 +28,12 @@
 import medlarroute.core.NotStartedReason
 import medlarroute.core.TaskId
 import org.apache.logging.log4j.LogManager
+import java.net.ConnectException
 import java.net.URLEncoder
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Everything that is exchanged with one backend server. All state is confined to [eventLoop]. */
 internal class BackendLane(
@@ -47,6 +50,7 @@
         val sentAt = elapsed()
         var connection: BackendConnection? = null
         var renewal: ScheduledFuture<*>? = null
+        var queriedSince: TimeSource.Monotonic.ValueTimeMark? = null
 
         val remaining: Duration get() = start.lease - (elapsed() - sentAt)
     }
@@ -232,6 +236,7 @@
     private fun query(attempt: Attempt, delay: Duration) {
         if (attempts[attempt.start.task] !== attempt) return
         if (attempt.remaining <= Duration.ZERO) return lost(attempt, "no reply within the lease")
+        if (attempt.queriedSince == null) attempt.queriedSince = TimeSource.Monotonic.markNow()
         observer.queried()
         val request = RequestHeaders.of(HttpMethod.GET, taskPath(attempt.start.task))
         client.execute(HttpRequest.of(request), responseTimeout(settings.silentAfterMs.milliseconds))
@@ -241,7 +246,7 @@
 
     private fun queried(attempt: Attempt, delay: Duration, reply: AggregatedHttpResponse?, cause: Throwable?) {
         val task = attempt.start.task
-        if (reply == null) return lost(attempt, "no reply, and no task state: ${Exceptions.peel(cause!!)}")
+        if (reply == null) return queryFailed(attempt, delay, Exceptions.peel(checkNotNull(cause)))
         noteState(reply)
         if (reply.status() == HttpStatus.NOT_FOUND) return lost(attempt, "no reply, and the task is not known")
         val message = messageOf(reply)
@@ -258,6 +263,18 @@
         }
     }
 
+    /** A crashed backend server refuses connections and has forgotten its tasks; other faults may pass. */
+    private fun queryFailed(attempt: Attempt, delay: Duration, cause: Throwable) {
+        val queriedFor = attempt.queriedSince?.elapsedNow() ?: Duration.ZERO
+        if (!isRefused(cause) && queriedFor < settings.silentAfterMs.milliseconds) return queryLater(attempt, delay)
+        lost(attempt, "no reply, and no task state: $cause")
+    }
+
+    private fun isRefused(cause: Throwable): Boolean {
+        val reason = if (cause is UnprocessedRequestException) cause.cause else cause
+        return reason is ConnectException && reason !is ConnectTimeoutException
+    }
+
     private fun queryLater(attempt: Attempt, delay: Duration) {
         val nextDelay = minOf(delay * 2, MAX_QUERY_DELAY)
         eventLoop.schedule({ query(attempt, nextDelay) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
--- a/server/src/test/kotlin/medlarroute/server/BackendClientTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/BackendClientTest.kt
@@ -148,6 +148,33 @@
         socket.getInputStream().readAllBytes().decodeToString() shouldNotContain "local.e1"
     }
 
+    /** Guards against a backend server that is never used again after one connection failed in the handshake. */
+    @Test
+    fun `a peer that answers the next handshake is used again`() {
+        val backend = RawBackend(isMute = { it == 1 }) {
+            if (it.path == "/v1/tasks") it.reply("""{"state":"done","output":"out"}""")
+        }
+        val client = client(backend.opened().address)
+        client.start(start())
+        nextInput() shouldBe Input.TaskNotStarted(start().task, NotStartedReason.NOT_DELIVERED, null)
+        client.start(start())
+        nextInput() shouldBe Input.TaskDone(start().task, "out", Duration.ZERO, null)
+    }
+
+    /** Guards against a lost answer where the first connection for the query fails as well. */
+    @Test
+    fun `the state of a task is asked for again if the query fails`() {
+        val backend = RawBackend {
+            if (it.path == "/v1/tasks") it.close()
+            if (it.path.startsWith("/v1/tasks/")) {
+                if (it.connection < 4) it.close() else it.reply("""{"state":"done","output":"late"}""")
+            }
+        }
+        val patient = settings.copy(silentAfterMs = 20_000)
+        BackendClient(patient, { backend.opened().address }, inputs::add, { Duration.ZERO }).opened().start(start())
+        nextInput() shouldBe Input.TaskDone(start().task, "late", Duration.ZERO, null)
+    }
+
     /** Guards against a start that is sent by a process that was paused after the decision. */
     @Test
     fun `a start whose decision is too old is not sent`() {
--- a/server/src/test/kotlin/medlarroute/server/RawBackend.kt
+++ b/server/src/test/kotlin/medlarroute/server/RawBackend.kt
@@ -28,10 +28,12 @@
  * HTTP/2 peer on an ephemeral loopback port that misbehaves at the level of frames.
  *
  * @param acknowledgesPings whether a connection, numbered from 1, answers PINGs.
+ * @param isMute whether a connection, numbered from 1, is accepted and never answered at all.
  * @param onRequest called when the headers of a request have arrived.
  */
 internal class RawBackend(
     private val acknowledgesPings: (connection: Int) -> Boolean = { true },
+    private val isMute: (connection: Int) -> Boolean = { false },
     private val onPing: (Request) -> Unit = {},
     private val onRequest: (Request) -> Unit,
 ) : AutoCloseable {
@@ -88,6 +90,7 @@
         BackendAddress(BackendId("b1"), "127.0.0.1", (channel.localAddress() as InetSocketAddress).port)
 
     private fun open(channel: Channel, connection: Int) {
+        if (isMute(connection)) return
         val codec = Http2FrameCodecBuilder.forServer().autoAckPingFrame(acknowledgesPings(connection)).build()
         channel.pipeline().addLast(codec, Frames(connection))
     }
