--- a/cli/src/main/kotlin/medlarroute/cli/Cli.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Cli.kt
@@ -69,15 +69,30 @@
         val usage = UsageExit(parser)
         parser.subcommands(*all.toTypedArray())
         all.forEach { it.prepare(usage) }
+        val (command, rest) = find(all, args)
+        val isBare = rest.isEmpty() && command !is Command
         try {
-            parser.parse((args.ifEmpty { listOf("--help") }).toTypedArray())
+            (command ?: parser).parse(if (isBare) arrayOf("--help") else rest.toTypedArray())
+            command?.execute()
         } catch (e: UsageExit.Ended) {
             if (e.isHelp) printLine(e.text) else note(e.text)
-            return if (e.isHelp && args.isNotEmpty()) ExitCode.SUCCESS else ExitCode.BAD_INPUT
+            return if (e.isHelp && !isBare) ExitCode.SUCCESS else ExitCode.BAD_INPUT
         }
         return code ?: throw CliFailure(ExitCode.BAD_INPUT, "no command given; see medlarroute ${args.first()} --help")
     }
 
+    /**
+     * The innermost command that [args] begin with, and the arguments after it. kotlinx-cli would read options after a
+     * nested command as options of the outer one, so that `rules apply --help` would show the help of `rules`.
+     */
+    private fun find(commands: List<CliCommand>, args: List<String>): Pair<CliCommand?, List<String>> {
+        val command = commands.firstOrNull { it.name == args.firstOrNull() } ?: return null to args
+        val rest = args.drop(1)
+        if (command !is CommandGroup) return command to rest
+        val (inner, innerRest) = find(command.commands, rest)
+        return if (inner == null) command to rest else inner to innerRest
+    }
+
     private fun complete(body: () -> Int): Int =
         try {
             body()
--- a/cli/src/main/kotlin/medlarroute/cli/CliCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/CliCommand.kt
@@ -26,7 +26,7 @@
 
 /** A command that consists of other commands. */
 @OptIn(ExperimentalCli::class)
-internal abstract class CommandGroup(name: String, description: String, private val commands: List<CliCommand>) :
+internal abstract class CommandGroup(name: String, description: String, val commands: List<CliCommand>) :
     CliCommand(name, description) {
     init {
         subcommands(*commands.toTypedArray())
--- a/cli/src/main/kotlin/medlarroute/cli/ReportBurnCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/ReportBurnCommand.kt
@@ -43,7 +43,7 @@
         } catch (e: CliFailure) {
             e.message
         }
-        return Reply(null, UnreachableInstance(url, reason))
+        return Reply(null, UnreachableInstance(url, reason.removePrefix("$url ")))
     }
 
     private fun print(report: BurnReport): String =
--- a/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
+++ b/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
@@ -63,6 +63,7 @@
         run("rules", "diff", "--nonsense") shouldBe ExitCode.BAD_INPUT
         run("--help") shouldBe ExitCode.SUCCESS
         run("rules", "apply", "--help") shouldBe ExitCode.SUCCESS
+        out.toString() shouldContain "--dry-run"
     }
 
     @Test
