--- a/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
+++ b/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
@@ -40,16 +40,27 @@
     public val retryBudgetRatio: Double = 0.1,
     @Setting("How long the lease of a task lasts beyond the deadline of its job")
     public val leaseMarginMs: Long = 500,
+    @Setting("Part of a job's timeout that it may be predicted to wait before it runs", max = 1.0)
     public val maxQueueWaitRatio: Double = 0.3,
+    @Setting("Part of a job's timeout within which it must be predicted to end", max = 1.0)
     public val admissionMargin: Double = 0.8,
+    @Setting("Part of the backend servers on which long work may run", max = 1.0)
     public val longBackendShare: Double = 0.5,
+    @Setting("How much a second of waiting counts against a second of remaining work of a job")
     public val ageing: Double = 0.6,
+    @Setting("Failed tasks in a row after which a backend server is ejected", min = 1.0)
     public val ejectAfterFailures: Int = 3,
+    @Setting("Time until an ejected backend server is probed; doubles with each failed probe", min = 1.0)
     public val ejectionMs: Long = 2_000,
+    @Setting("Longest time between two probes of an ejected backend server", min = 1.0)
     public val maxEjectionMs: Long = 60_000,
+    @Setting("Number of this instance among those that divide the backend servers, from 0")
     public val affinityPart: Int = 0,
+    @Setting("Instances among which the backend servers are divided; 1: no affinity", min = 1.0)
     public val affinityParts: Int = 1,
+    @Setting("Part of the slots of a backend server that this instance may use if others use them too", max = 1.0)
     public val slotShare: Double = 0.3,
+    @Setting("Mechanisms that are switched off, for measurements only")
     public val disabled: Set<Mechanism> = emptySet(),
 )
 
--- a/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
+++ b/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
@@ -79,6 +79,9 @@
         val maxOpenJobs = engine.maxOpenJobs.toLong()
         val perCaller = engine.maxOpenJobsPerCaller.toLong()
         atLeast("engine.maxOpenJobs", maxOpenJobs, "engine.maxOpenJobsPerCaller", perCaller)
+        atLeast("engine.maxEjectionMs", engine.maxEjectionMs, "engine.ejectionMs", engine.ejectionMs)
+        val parts = engine.affinityParts
+        expect(engine.affinityPart < parts, "engine.affinityPart", "must be below affinityParts, which is $parts")
     }
 
     private fun checkObjectives() {
--- a/core/src/test/kotlin/medlarroute/core/SettingsReaderTest.kt
+++ b/core/src/test/kotlin/medlarroute/core/SettingsReaderTest.kt
@@ -85,6 +85,26 @@
         )
     }
 
+    @Test
+    fun `lists and their entries are checked`() {
+        val text = """
+            peers:
+              seeds: [north-1, "10.0.0.7:8082"]
+            engine:
+              affinityPart: 1
+              disabled: [SPEED]
+            callers:
+              tls: {certificateFile: a, privateKeyFile: b, keyStoreFile: c, keyStorePasswordFile: d}
+        """.trimIndent()
+        findings(text) shouldContainExactly listOf(
+            "s.yaml:2:10: peers.seeds: expected host:port, found `north-1`",
+            "s.yaml:4:17: engine.affinityPart: must be below affinityParts, which is 1",
+            "s.yaml:7:62: callers.tls.keyStoreFile: excludes callers.tls.certificateFile",
+        )
+        findings("engine:\n  disabled: [SPEED, FOO]\n").single().take(23) shouldBe "s.yaml:2:21: engine.dis"
+        findings("peers:\n  seeds: one\n").single() shouldBe "s.yaml:2:10: peers.seeds: expected a list, found `one`"
+    }
+
     @Test
     fun `a text that is not YAML is one finding with its place`() {
         findings("a: [1\nb: }").size shouldBe 1
