--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -151,12 +151,11 @@
         stopped.orTimeout((limit + SHUTDOWN_MARGIN).inWholeMilliseconds, TimeUnit.MILLISECONDS).exceptionally {
             null
         }.join()
-        extension.stop()
+        CompletableFuture.allOf(CompletableFuture.runAsync(extension::stop), operatorServer.stop()).join()
         backends.close()
         loop.stop()
         answers.shutdown()
         state.set(InstanceState.STOPPED)
-        operatorServer.stop().join()
         metrics.close()
     }
 
