Name no submission in the refusal of an unknown ticket

The refusal said that a submission did not run which may run for another caller, or under a ticket that is issued later. It now speaks of the request alone, as the other refusals of that sort do.

--- a/server/src/main/kotlin/medlarroute/server/JobService.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -206,8 +206,9 @@
 
             is Lookup.Closed -> ReplyJson.refusal(submission, closedCode(), "Submission-Id", lookup.reason)
 
+            // Names no submission: that of another caller may run, and a ticket may be issued later.
             Lookup.UnknownTicket ->
-                ReplyJson.refusal(submission, RefusalCode.UNKNOWN_TICKET, "Submission-Id", "the ticket is not known")
+                ReplyJson.refusal(null, RefusalCode.UNKNOWN_TICKET, "Submission-Id", "the ticket is not known")
         }
 
     private fun closedCode() = if (draining) RefusalCode.DRAINING else RefusalCode.TICKET_CLOSED
--- a/server/src/test/kotlin/medlarroute/server/JobServiceTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/JobServiceTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
 import medlarroute.core.Answer
 import medlarroute.core.CallerId
 import medlarroute.core.FailureCode
@@ -141,6 +142,22 @@
         status(submission.copy(ticket = submission.ticket.copy(sessionNumber = 99))).httpStatus shouldBe 404
     }
 
+    /** Guards against a "not run" about the submission of another caller, which runs, and against a look into it. */
+    @Test
+    fun `a ticket of another caller is unknown and the refusal names no submission`() {
+        submit()
+        service.answered(submission, Answer.Complete(listOf("secret")))
+        val requests = Operation.entries.map {
+            CallerRequest(it, submission, CallerId("other"), body.encodeToByteArray(), 20.seconds)
+        }
+        requests.forEach { request ->
+            val reply = service.handle(request).reply()
+            reply.httpStatus shouldBe 404
+            reply.text() shouldNotContain "\"submission\""
+            reply.text() shouldNotContain "secret"
+        }
+    }
+
     /** Guards against a cancellation that is lost or answered before the job has ended. */
     @Test
     fun `a cancelled job is answered with what the engine decides`() {
