--- a/server/src/main/kotlin/medlarroute/server/BackendClient.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendClient.kt
@@ -34,7 +34,7 @@
         .workerGroup(threads, false)
         .maxNumEventLoopsPerEndpoint(1)
         .connectTimeoutMillis(settings.connectTimeoutMs)
-        .idleTimeoutMillis(0)
+        .idleTimeoutMillis(IDLE_LIMIT_MS)
         .build()
     private val lanes = ConcurrentHashMap<BackendId, BackendLane>()
 
@@ -45,7 +45,7 @@
             if (lane != null) return lane.start(start)
         } catch (e: RuntimeException) {
             // Nothing was handed to the lane: its address can't be used, or its event loop has ended.
-            log.warn("backend: no task can be sent to {}", start.backend, e)
+            loggedWith(start.task.submission) { log.warn("backend: no task can be sent to {}", start.backend, e) }
         }
         observer.notStarted(NotStartedReason.NOT_DELIVERED)
         sink.offer(Input.TaskNotStarted(start.task, NotStartedReason.NOT_DELIVERED))
@@ -75,6 +75,9 @@
 
     private companion object {
         val log = LogManager.getLogger(BackendClient::class.java)
+
+        /** All entry instances together may hold 64 connections to a backend server, so unused ones are closed. */
+        const val IDLE_LIMIT_MS = 60_000L
         const val SHUTDOWN_LIMIT_MS = 1_000L
     }
 }
--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -17,6 +17,7 @@
 import com.linecorp.armeria.common.SessionProtocol
 import com.linecorp.armeria.common.logging.RequestLogProperty
 import com.linecorp.armeria.common.util.Exceptions
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.util.concurrent.ScheduledFuture
 import kotlinx.serialization.SerializationException
@@ -27,10 +28,12 @@
 import medlarroute.core.NotStartedReason
 import medlarroute.core.TaskId
 import org.apache.logging.log4j.LogManager
+import java.net.ConnectException
 import java.net.URLEncoder
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Everything that is exchanged with one backend server. All state is confined to [eventLoop]. */
 internal class BackendLane(
@@ -47,6 +50,7 @@
         val sentAt = elapsed()
         var connection: BackendConnection? = null
         var renewal: ScheduledFuture<*>? = null
+        var queriedSince: TimeSource.Monotonic.ValueTimeMark? = null
 
         val remaining: Duration get() = start.lease - (elapsed() - sentAt)
     }
@@ -55,12 +59,63 @@
         .factory(factory)
         .build()
     private val attempts = HashMap<TaskId, Attempt>()
+    private var connection: BackendConnection? = null
     private var leaving = false
 
-    fun start(start: Effect.Start): Unit = eventLoop.execute { sendUnlessStale(start) }
+    /** Starts that wait for a connection; one is being opened if there are any. */
+    private val waiting = ArrayList<Effect.Start>()
+
+    fun start(start: Effect.Start): Unit = eventLoop.execute {
+        if (connection?.isUsable == true) sendUnlessStale(start) else sendOnceConnected(start)
+    }
 
     fun stop(task: TaskId): Unit = eventLoop.execute { sendStop(task) }
 
+    /** Starts are sent over established connections only, so that nothing delays them after their age was checked. */
+    private fun sendOnceConnected(start: Effect.Start) {
+        waiting += start
+        if (waiting.size > 1) return
+        try {
+            connect()
+        } catch (e: RuntimeException) {
+            log.warn("backend: no connection to {}", address.id, e)
+            connectionFailed()
+        }
+    }
+
+    /** The client library opens a connection for a request only; the reply to this one is of no account. */
+    private fun connect() {
+        val request = HttpRequest.of(RequestHeaders.of(HttpMethod.GET, "/v1/usage"))
+        val timeout = settings.silentAfterMs.milliseconds
+        execute(request, timeout, ::connected).aggregate().handle { _, _ -> onEventLoop(::connectionFailed) }
+    }
+
+    private fun connected(opened: BackendConnection) {
+        connection = opened
+        val starts = waiting.toList()
+        waiting.clear()
+        starts.forEach(::sendUnlessStale)
+    }
+
+    private fun connectionFailed() {
+        val starts = waiting.toList()
+        waiting.clear()
+        starts.forEach { notStarted(it.task, NotStartedReason.NOT_DELIVERED, null) }
+    }
+
+    /** Sends [request] and calls [onConnection] with the connection that it takes, if there is one. */
+    private fun execute(
+        request: HttpRequest,
+        timeout: Duration,
+        onConnection: (BackendConnection) -> Unit,
+    ): HttpResponse = Clients.newContextCaptor().use { captor ->
+        val response = client.execute(request, responseTimeout(timeout))
+        captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
+            log.channel()?.let { onEventLoop { onConnection(BackendConnection.of(it, ::goAwayReceived)) } }
+        }
+        response
+    }
+
     /** The process may have been paused since the decision, so its age is checked right before the send. */
     private fun sendUnlessStale(start: Effect.Start) {
         if (elapsed() - start.decidedAt > settings.maxDecisionAgeMs.milliseconds) {
@@ -75,13 +130,11 @@
         }
     }
 
-    private fun send(attempt: Attempt): Unit = Clients.newContextCaptor().use { captor ->
+    private fun send(attempt: Attempt) {
         val start = attempt.start
-        val response = client.execute(startRequest(start), responseTimeout(start.lease + REPLY_MARGIN))
-        captor.getOrNull()?.log()?.whenAvailable(RequestLogProperty.SESSION)?.thenAccept { log ->
-            log.channel()?.let { onEventLoop { connected(attempt, BackendConnection.of(it, ::goAwayReceived)) } }
-        }
-        response.aggregate().handle { reply, cause -> onEventLoop { guard(attempt) { ended(attempt, reply, cause) } } }
+        execute(startRequest(start), start.lease + REPLY_MARGIN) { connected(attempt, it) }
+            .aggregate()
+            .handle { reply, cause -> onEventLoop { guard(attempt) { ended(attempt, reply, cause) } } }
     }
 
     /** An unexpected error proves nothing about the task, so it is lost; without a report it would stay open. */
@@ -89,7 +142,9 @@
         try {
             action()
         } catch (e: RuntimeException) {
-            log.error("backend: {} failed on {}", attempt.start.task, address.id, e)
+            loggedWith(attempt.start.task.submission) {
+                log.error("backend: {} failed on {}", attempt.start.task, address.id, e)
+            }
             lost(attempt, "internal error: $e")
         }
     }
@@ -181,6 +236,7 @@
     private fun query(attempt: Attempt, delay: Duration) {
         if (attempts[attempt.start.task] !== attempt) return
         if (attempt.remaining <= Duration.ZERO) return lost(attempt, "no reply within the lease")
+        if (attempt.queriedSince == null) attempt.queriedSince = TimeSource.Monotonic.markNow()
         observer.queried()
         val request = RequestHeaders.of(HttpMethod.GET, taskPath(attempt.start.task))
         client.execute(HttpRequest.of(request), responseTimeout(settings.silentAfterMs.milliseconds))
@@ -190,7 +246,7 @@
 
     private fun queried(attempt: Attempt, delay: Duration, reply: AggregatedHttpResponse?, cause: Throwable?) {
         val task = attempt.start.task
-        if (reply == null) return lost(attempt, "no reply, and no task state: ${Exceptions.peel(cause!!)}")
+        if (reply == null) return queryFailed(attempt, delay, Exceptions.peel(checkNotNull(cause)))
         noteState(reply)
         if (reply.status() == HttpStatus.NOT_FOUND) return lost(attempt, "no reply, and the task is not known")
         val message = messageOf(reply)
@@ -207,6 +263,18 @@
         }
     }
 
+    /** A crashed backend server refuses connections and has forgotten its tasks; other faults may pass. */
+    private fun queryFailed(attempt: Attempt, delay: Duration, cause: Throwable) {
+        val queriedFor = attempt.queriedSince?.elapsedNow() ?: Duration.ZERO
+        if (!isRefused(cause) && queriedFor < settings.silentAfterMs.milliseconds) return queryLater(attempt, delay)
+        lost(attempt, "no reply, and no task state: $cause")
+    }
+
+    private fun isRefused(cause: Throwable): Boolean {
+        val reason = if (cause is UnprocessedRequestException) cause.cause else cause
+        return reason is ConnectException && reason !is ConnectTimeoutException
+    }
+
     private fun queryLater(attempt: Attempt, delay: Duration) {
         val nextDelay = minOf(delay * 2, MAX_QUERY_DELAY)
         eventLoop.schedule({ query(attempt, nextDelay) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
