--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -97,6 +97,7 @@
  * of this size, sent and received, and their HTTP/2 frames stay within 4 KB/s.
  * @property pingIntervalMs interval of HTTP/2 PINGs on an idle connection. A connection whose PING has no reply within
  *   it is given up together with the forwards on it, so it is longer than the pauses of a healthy process.
+ * @property advertisedPort port that the peers connect to if a port mapping lies between; 0: [port] itself.
  * @property seeds `host:port` of entry instances to contact at the start, for a start while the platform is down.
  */
 @Serializable
@@ -119,6 +120,12 @@
     public val pingIntervalMs: Long = 2_000,
     @Setting("Entry instances to contact at the start, as host:port")
     public val seeds: List<String> = emptyList(),
+    @Setting(
+        "Port that the peers connect to, where it differs from the one served; 0: the same",
+        min = 0.0,
+        max = 65535.0,
+    )
+    public val advertisedPort: Int = 0,
 )
 
 /**
--- a/lab/src/main/kotlin/medlarroute/lab/CallerClient.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/CallerClient.kt
@@ -27,6 +27,7 @@
     val submission: String? = null,
     val results: List<TaskResult> = emptyList(),
     val code: String = "",
+    val detail: String = "",
     val findings: List<Finding> = emptyList(),
 ) {
     @Serializable
--- a/lab/src/main/kotlin/medlarroute/lab/LoadRecord.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadRecord.kt
@@ -37,6 +37,7 @@
         val status: AnswerStatus,
         val answeredSubmission: String? = null,
         val code: String = "",
+        val detail: String = "",
         val results: List<TaskResult> = emptyList(),
         val isReplay: Boolean = false,
     ) : LoadRecord
--- a/lab/src/main/kotlin/medlarroute/lab/LoadTool.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/LoadTool.kt
@@ -129,6 +129,7 @@
             status = status,
             answeredSubmission = reply.submission,
             code = reply.reason(),
+            detail = reply.detail,
             results = reply.results,
         )
 
--- a/lab/src/main/kotlin/medlarroute/lab/SourceDomains.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/SourceDomains.kt
@@ -30,7 +30,7 @@
     }
 
     private fun inodeOf(port: Int): String? =
-        listOf("net/tcp", "net/tcp6").map { proc.resolve(it) }.filter { it.exists() }
+        listOf("net/tcp6", "net/tcp").map { proc.resolve(it) }.filter { it.exists() }
             .firstNotNullOfOrNull { table ->
                 Files.readAllLines(table).drop(1).firstNotNullOfOrNull { inodeIn(it, port) }
             }
--- a/server/src/main/kotlin/medlarroute/server/PeerNetwork.kt
+++ b/server/src/main/kotlin/medlarroute/server/PeerNetwork.kt
@@ -106,7 +106,7 @@
     /** Starts serving peers, polling the platform and sending heartbeats. */
     fun start() {
         server.start()
-        members.listensOn(server.port)
+        members.listensOn(settings.peers.advertisedPort.takeIf { it > 0 } ?: server.port)
         pollers.forEach { it.start() }
         executor.scheduleWithFixedDelay(::refreshQuotas, QUOTA_REFRESH_MS, QUOTA_REFRESH_MS, TimeUnit.MILLISECONDS)
     }
