Look up the sources of a burst of connections with one scan

Change: one scan of the sockets serves all connections accepted before it; what is held back is released when a link ends.

--- a/lab/src/main/kotlin/medlarroute/lab/TcpRelay.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/TcpRelay.kt
@@ -12,12 +12,14 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.util.ReferenceCountUtil
 import kotlinx.serialization.Serializable
 import java.net.InetSocketAddress
 import java.nio.file.Path
 import java.time.Duration.ZERO
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
+import kotlin.time.TimeSource
 
 /** A port of the relay and where it leads; [failureDomain] is that of the target. */
 @Serializable
@@ -75,6 +77,13 @@
             setReading(true)
         }
 
+        /** Ends the link; what is held back does not arrive. */
+        fun drop() {
+            target?.close()
+            held.forEach { (_, bytes) -> ReferenceCountUtil.release(bytes) }
+            held.clear()
+        }
+
         private fun setReading(isOn: Boolean) {
             accepted.config().isAutoRead = isOn
             target?.config()?.isAutoRead = isOn
@@ -144,14 +153,15 @@
 
     private fun accept(channel: Channel, route: RelayRoute) {
         val port = (channel.remoteAddress() as InetSocketAddress).port
+        val acceptedAt = TimeSource.Monotonic.markNow()
         val link = Link(channel, route)
         channel.closeFuture().addListener {
             links.remove(link)
-            link.target?.close()
+            link.drop()
         }
         // The lookup reads the files of several processes, which would block the event loop of other connections.
         lookups.execute {
-            link.source = sources.domainOf(port)
+            link.source = sources.domainOf(port, acceptedAt)
             synchronized(this) {
                 links.add(link)
                 update(link)
