--- a/lab/src/main/kotlin/medlarroute/lab/OwnershipBench.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/OwnershipBench.kt
@@ -20,7 +20,7 @@
 import kotlin.time.TimeSource
 
 /**
- * Compares, in one run, remembering a submission at the home that its id names with remembering it by a claim row in the
+ * Compares, in one run, two ways to remember a submission: at the home that its id names, and by a claim row in the
  * platform's table: added latency, writes to the platform, and what still works while the platform is down.
  *
  * Two real entry instances, a platform stand-in that holds back each reply for [replyDelayMs], and one backend stand-in
