--- a/cli/src/main/kotlin/medlarroute/cli/Main.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Main.kt
@@ -17,6 +17,7 @@
         StandinCommands(cli),
         LoadCommand(cli),
         VerifyCommand(cli),
+        ExperimentCommand(cli),
         VersionCommand(cli),
     )
 
