--- a/cli/src/main/kotlin/medlarroute/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/ServeCommand.kt
@@ -6,6 +6,7 @@
 import medlarroute.core.SettingsReader
 import medlarroute.server.EntryInstance
 import org.apache.logging.log4j.LogManager
+import java.io.IOException
 import java.util.concurrent.CompletionException
 import java.util.concurrent.CountDownLatch
 
@@ -42,10 +43,15 @@
     private fun started(settings: Settings): EntryInstance =
         try {
             EntryInstance(settings).also { it.start() }
-        } catch (e: IllegalArgumentException) {
-            throw CliFailure(ExitCode.BAD_INPUT, "$settingsFile:1:1: ${e.message}", e)
-        } catch (e: CompletionException) {
-            throw CliFailure(ExitCode.BAD_INPUT, "$settingsFile:1:1: a port can't be bound: ${e.cause?.message}", e)
+        } catch (e: Exception) {
+            throw CliFailure(ExitCode.BAD_INPUT, "$settingsFile:1:1: ${reason(e)}", e)
+        }
+
+    private fun reason(e: Exception): String =
+        when (e) {
+            is CompletionException -> "a port can't be bound: ${e.cause?.message}"
+            is IOException -> "a file that the settings name can't be read: ${e.message}"
+            else -> e.message ?: e.javaClass.simpleName
         }
 
     /** Log4j reads these properties when the first logger is made, so they are set before that. */
--- a/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
+++ b/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
@@ -204,4 +204,13 @@
         run("rules", "status", "--url", url) shouldBe ExitCode.NEGATIVE
         out.toString() shouldContain "s/e2: version 3, unreachable, last contact 7s ago"
     }
+
+    @Test
+    fun `serve reports settings that can't be used and does not start`() {
+        val name =
+            file("s.yaml", "callers: {port: 0, tokensFile: /nonexistent}\noperators: {port: 0}\npeers: {port: 0}\n")
+        run("serve", "--settings", name) shouldBe ExitCode.BAD_INPUT
+        err.toString() shouldContain "a file that the settings name can't be read: /nonexistent"
+        run("serve", "--settings", file("t.yaml", "peers: {fanOut: 0}\n")) shouldBe ExitCode.BAD_INPUT
+    }
 }
