Record the answer that is given at the deadline in place of the engine

If the engine was late by more than 100 ms, the caller got a failure at the deadline while the registry later recorded another answer, so that a resubmission contradicted the first reply. The first answer now counts for both.

--- a/server/src/main/kotlin/medlarroute/server/JobService.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -24,7 +24,7 @@
 /**
  * Handles submissions whose home is this instance, and replays those of homes that handed over their records.
  *
- * Each request is answered at the latest by its own timeout plus [ANSWER_GRACE], even if the engine never answers.
+ * Each request is answered shortly after its timeout at the latest, even if the engine never answers.
  * Thread-safe.
  */
 internal class JobService(
@@ -54,6 +54,16 @@
         /** Null until the body was read. */
         @Volatile
         var account: JobAccount? = null
+
+        private var settled: Answer? = null
+
+        /** Calls [record] with the first [proposal] and returns that one, so that all are told the same. */
+        @Synchronized
+        fun settle(proposal: Answer, record: (Answer) -> Unit): Answer =
+            settled ?: proposal.also {
+                settled = it
+                record(it)
+            }
     }
 
     private val pending = ConcurrentHashMap<SubmissionId, Pending>()
@@ -88,13 +98,27 @@
 
     /** Records [answer] and hands it to everyone who waits for it. Called once for each submission that has begun. */
     fun answered(submission: SubmissionId, answer: Answer) {
-        registry.end(submission, answer)
-        val entry = pending.remove(submission)
-        entry?.account?.let { recorder.ended(it.close(answer)) }
-        entry?.answer?.complete(answer)
+        val entry = pending[submission]
+        if (entry == null) registry.end(submission, answer) else settle(submission, entry, answer)
+        pending.remove(submission)
         closed()
     }
 
+    private fun settle(submission: SubmissionId, entry: Pending, proposal: Answer) {
+        val answer = entry.settle(proposal) {
+            registry.end(submission, it)
+            entry.account?.let { account -> recorder.ended(account.close(it)) }
+        }
+        entry.answer.complete(answer)
+    }
+
+    /** Answers for the engine if it has not done so shortly after the deadline; its own answer then counts no more. */
+    private fun settleWhenLate(submission: SubmissionId, entry: Pending, timeout: Duration) {
+        entry.answer.copy()
+            .completeOnTimeout(LATE, (timeout + ANSWER_GRACE).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            .thenAccept { if (it === LATE) settle(submission, entry, LATE) }
+    }
+
     /** Counts the messages of a start that has ended. */
     fun taskEnded(reply: TaskReply) {
         val account = pending[reply.task.submission]?.account
@@ -140,6 +164,7 @@
         }
         val job = body.toJob(request)
         entry.account = JobAccount(job, clock)
+        settleWhenLate(submission, entry, job.timeout)
         if (!loop.submit(job)) answered(submission, INBOX_FULL)
         entry.submitted.complete(Unit)
         return await(submission, entry, job.timeout)
@@ -156,7 +181,7 @@
         val entry = pending.computeIfAbsent(submission) { Pending() }
         val lookup = registry.peek(submission, request.caller)
         if (lookup == Lookup.Running) return entry
-        pending.remove(submission, entry)
+        if (entry.account == null) pending.remove(submission, entry)
         entry.answer.complete(answerOf(lookup))
         return entry
     }
@@ -169,8 +194,8 @@
         }
 
     private fun await(submission: SubmissionId, entry: Pending, timeout: Duration): CompletableFuture<CallerReply> {
-        val late = ReplyJson.failure(submission, FailureCode.DEADLINE, "no answer was known at the deadline")
-        val limit = minOf(timeout, entry.account?.job?.timeout ?: timeout) + ANSWER_GRACE
+        val late = ReplyJson.answer(submission, LATE)
+        val limit = minOf(timeout, entry.account?.job?.timeout ?: timeout) + ANSWER_GRACE * 2
         return entry.answer
             .thenApply { ReplyJson.answer(submission, it) }
             .completeOnTimeout(late, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -218,6 +243,7 @@
 
         /** Lets the engine answer first: its answer at the deadline tells more than the one given here. */
         val ANSWER_GRACE = 100.milliseconds
+        val LATE = Answer.Failed(FailureCode.DEADLINE, "no answer was known at the deadline")
         val INBOX_FULL = Answer.Refused(
             listOf(Refusal(RefusalCode.OVERLOAD, "job", "too many requests wait for a decision")),
             retryAfter = 100.milliseconds,
--- a/server/src/test/kotlin/medlarroute/server/JobServiceTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/JobServiceTest.kt
@@ -128,6 +128,18 @@
         sink.jobs.single().timeout shouldBe 1.milliseconds
     }
 
+    /** Guards against two different answers to one submission when the engine's answer comes late. */
+    @Test
+    fun `an answer given at the deadline stays the answer`() {
+        val late = submit(timeout = 1.milliseconds).reply().text()
+        late shouldContain "DEADLINE"
+        submit().reply().text() shouldBe late
+        service.answered(submission, Answer.Complete(listOf("out")))
+        submit().reply().text() shouldBe late
+        service.handle(request(Operation.STATUS, body = "")).reply().text() shouldBe late
+        service.openSubmissions shouldBe 0
+    }
+
     /** Guards against states that are reported wrongly. */
     @Test
     fun `the status follows the job`() {
