Measure the cost of a start and keep guesses of long and short work apart

Guesses and the presumed load of other instances are counted separately for backend servers that run long work.

--- a/core/src/main/kotlin/medlarroute/core/BackendPool.kt
+++ b/core/src/main/kotlin/medlarroute/core/BackendPool.kt
@@ -35,8 +35,10 @@
     private val timers = PriorityQueue<Timer>(compareBy { it.atNs })
     private val probeReady = ArrayDeque<BackendRow>()
     private val off = settings.disabled
-    private var othersMean = 0.0
-    private val guesses = GuessWindow()
+
+    /** Index 0 for the backend servers that run short work only, 1 for those that run long work, too. */
+    private val othersMean = DoubleArray(2)
+    private val guesses = List(2) { GuessWindow() }
     private val fresh = ArrayList<BackendRow>()
 
     /** Estimated free slots on all usable backend servers. */
@@ -101,13 +103,15 @@
         row.othersAtNs = nowNs
         if (!row.isFresh) fresh += row
         row.isFresh = true
-        othersMean += (row.othersBusy / row.info.slots - othersMean) * OTHERS_STEP
+        val group = group(row)
+        othersMean[group] += (row.othersBusy / row.info.slots - othersMean[group]) * OTHERS_STEP
     }
 
     /** Leaves a backend server alone that was busy. */
     fun recordBusy(row: BackendRow, nowNs: Long) {
-        guesses.recordBusy(nowNs, tables.kinds.all.medianNs() / (tables.outstanding + 1))
-        othersMean += (1 - othersMean) * BUSY_STEP
+        val group = group(row)
+        guesses[group].recordBusy(nowNs, tables.kinds.all.medianNs() / (tables.outstanding + 1))
+        othersMean[group] += (1 - othersMean[group]) * BUSY_STEP
         row.othersBusy = (row.info.slots - row.outstanding).coerceAtLeast(0).toDouble()
         row.othersAtNs = nowNs
         hold(row, backOffNs(row), nowNs)
@@ -138,7 +142,7 @@
     fun nextTimerNs(): Long? = timers.peek()?.atNs
 
     /** Time at which guesses are allowed again; null if they are allowed now. */
-    fun nextGuessNs(nowNs: Long): Long? = guesses.nextNs(nowNs)
+    fun nextGuessNs(nowNs: Long): Long? = guesses.mapNotNull { it.nextNs(nowNs) }.minOrNull()
 
     fun runTimers(nowNs: Long) {
         fresh.removeIf { row -> (nowNs - row.othersAtNs > FRESH_NS).also { if (it) row.isFresh = false } }
@@ -190,7 +194,7 @@
 
     private fun limit(row: BackendRow): Int {
         val all = row.info.slots
-        val unclaimed = all * (1 - SHARE_SLOPE * othersMean)
+        val unclaimed = all * (1 - SHARE_SLOPE * othersMean[group(row)])
         val share = if (Mechanism.SLOT_SHARES in
             off
         ) {
@@ -204,7 +208,7 @@
     private fun estimatedFree(row: BackendRow, nowNs: Long): Double {
         val slots = row.info.slots
         if (Mechanism.USAGE in off) return (slots - row.outstanding).toDouble()
-        val mean = othersMean * slots
+        val mean = othersMean[group(row)] * slots
         val age = (nowNs - row.othersAtNs) / tables.kinds.all.medianNs()
         return slots - row.outstanding - (mean + (row.othersBusy - mean) * exp(-age))
     }
@@ -219,6 +223,8 @@
         return PROBE_SCORE + score - free
     }
 
+    private fun group(row: BackendRow) = if (row.place < settings.longBackendShare) 1 else 0
+
     private fun isAffine(row: BackendRow) =
         settings.affinityParts <= 1 || (row.place * settings.affinityParts).toInt() == settings.affinityPart
 
@@ -237,7 +243,7 @@
     }
 
     private fun mayStart(row: BackendRow, nowNs: Long): Boolean =
-        isFreshlyFree(row, nowNs) || Mechanism.PROBE_BUDGET in off || guesses.take(nowNs)
+        isFreshlyFree(row, nowNs) || Mechanism.PROBE_BUDGET in off || guesses[group(row)].take(nowNs)
 
     private fun isFreshlyFree(row: BackendRow, nowNs: Long): Boolean =
         row.isFresh && isUsable(row, nowNs) && row.info.slots - row.outstanding - row.othersBusy >= 1
--- a/lab/src/main/kotlin/medlarroute/lab/RunExperiment.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/RunExperiment.kt
@@ -79,8 +79,9 @@
 
 private const val WITHOUT = "without-"
 
-/** Runs the experiment without the command line binary: `runExperiment [--policies a,b] [--out dir] file...`. */
+/** Runs the experiment without the command line binary: `--cost`, or `[--policies a,b] [--out dir] file...`. */
 public fun main(arguments: Array<String>) {
+    if (arguments.contentEquals(arrayOf("--cost"))) return println(measureEngineCost())
     val policies = arguments.indexOf("--policies").takeIf { it >= 0 }?.let { arguments[it + 1].split(',') }.orEmpty()
     val out = arguments.indexOf("--out").takeIf { it >= 0 }?.let { File(arguments[it + 1]) }
     val files = arguments.filterIndexed { index, text -> !text.startsWith("--") && !isValue(arguments, index) }
