--- a/cli/src/main/kotlin/medlarroute/cli/JobCommands.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/JobCommands.kt
@@ -38,9 +38,11 @@
     @Serializable
     private data class JobState(val status: String)
 
-    private companion object {
-        const val DEFAULT_URL = "http://127.0.0.1:8080"
-        val BAD_REQUESTS = setOf(400, 401, 413, 422)
+    protected companion object {
+        private const val DEFAULT_URL = "http://127.0.0.1:8080"
+
+        /** Replies that no other moment would change. */
+        val BAD_REQUESTS: Set<Int> = setOf(400, 401, 413, 422)
     }
 }
 
--- a/cli/src/main/kotlin/medlarroute/cli/JobSubmitCommand.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/JobSubmitCommand.kt
@@ -55,7 +55,8 @@
             throw e.asFailure()
         }
         if (reply.status == CREATED) return decodeReply<TicketReply>(reply).ticket
-        throw CliFailure(ExitCode.NEGATIVE, "no ticket: ${reply.body.take(MAX_SHOWN_CHARS)}")
+        val code = if (reply.status in BAD_REQUESTS) ExitCode.BAD_INPUT else ExitCode.NEGATIVE
+        throw CliFailure(code, "no ticket: ${reply.body.take(MAX_SHOWN_CHARS)}")
     }
 
     private fun body(): String {
--- a/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
+++ b/cli/src/test/kotlin/medlarroute/cli/CliTest.kt
@@ -213,4 +213,11 @@
         err.toString() shouldContain "a file that the settings name can't be read: /nonexistent"
         run("serve", "--settings", file("t.yaml", "peers: {fanOut: 0}\n")) shouldBe ExitCode.BAD_INPUT
     }
+
+    @Test
+    fun `a caller that is not known is bad input`() {
+        server.start()
+        serve("/v1/tickets") { _, _ -> 401 to """{"status":"refused","notRun":true,"findings":[]}""" }
+        run("job", "submit", "--url", url, "--kind", "check", "--task", "a") shouldBe ExitCode.BAD_INPUT
+    }
 }
