--- a/server/src/test/kotlin/medlarroute/server/JobServiceTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/JobServiceTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
 import medlarroute.core.Answer
 import medlarroute.core.CallerId
 import medlarroute.core.FailureCode
@@ -127,6 +128,18 @@
         sink.jobs.single().timeout shouldBe 1.milliseconds
     }
 
+    /** Guards against two different answers to one submission when the engine's answer comes late. */
+    @Test
+    fun `an answer given at the deadline stays the answer`() {
+        val late = submit(timeout = 1.milliseconds).reply().text()
+        late shouldContain "DEADLINE"
+        submit().reply().text() shouldBe late
+        service.answered(submission, Answer.Complete(listOf("out")))
+        submit().reply().text() shouldBe late
+        service.handle(request(Operation.STATUS, body = "")).reply().text() shouldBe late
+        service.openSubmissions shouldBe 0
+    }
+
     /** Guards against states that are reported wrongly. */
     @Test
     fun `the status follows the job`() {
@@ -141,6 +154,22 @@
         status(submission.copy(ticket = submission.ticket.copy(sessionNumber = 99))).httpStatus shouldBe 404
     }
 
+    /** Guards against a "not run" about the submission of another caller, which runs, and against a look into it. */
+    @Test
+    fun `a ticket of another caller is unknown and the refusal names no submission`() {
+        submit()
+        service.answered(submission, Answer.Complete(listOf("secret")))
+        val requests = Operation.entries.map {
+            CallerRequest(it, submission, CallerId("other"), body.encodeToByteArray(), 20.seconds)
+        }
+        requests.forEach { request ->
+            val reply = service.handle(request).reply()
+            reply.httpStatus shouldBe 404
+            reply.text() shouldNotContain "\"submission\""
+            reply.text() shouldNotContain "secret"
+        }
+    }
+
     /** Guards against a cancellation that is lost or answered before the job has ended. */
     @Test
     fun `a cancelled job is answered with what the engine decides`() {
