Remove the unused quota slot, and bound rules texts by what a platform row holds

Cause: the quota ledger divides by the number of instances and never read quotaSlot; a rules text of 1,000,000 characters passed the check but could not be written to a row of 256 KiB. Change: the setting and its check are gone, the limit is 65,536 characters (at most 3 bytes each in UTF-8). The line of the test that expected the finding about quotaSlot went with the setting.

--- a/core/src/main/kotlin/medlarroute/core/RulesReader.kt
+++ b/core/src/main/kotlin/medlarroute/core/RulesReader.kt
@@ -9,8 +9,8 @@
 
 /** Reads rules files; the language is described in `docs/rules.md`. Reports all faults together. */
 public object RulesReader {
-    /** Largest text in characters; a row of the platform's table holds the whole text. */
-    public const val MAX_CHARS: Int = 1_000_000
+    /** Largest text in characters. A row of the platform's table holds the whole text as JSON, in at most 256 KiB. */
+    public const val MAX_CHARS: Int = 65_536
 
     /** The rules of [text] under [version]; [file] names the text in findings. */
     public fun read(text: String, version: Long, file: String = "rules"): Either<NonEmptyList<Finding>, Rules> =
--- a/core/src/main/kotlin/medlarroute/core/Settings.kt
+++ b/core/src/main/kotlin/medlarroute/core/Settings.kt
@@ -21,7 +21,6 @@
 /**
  * Who the instance is.
  *
- * @property quotaSlot number of this instance among the entry instances of its failure domain, from 0.
  * @property instancesInFailureDomain entry instances that the failure domain has at most.
  * @property failureDomains failure domains that share the quotas; the same in all instances.
  */
@@ -33,8 +32,6 @@
     public val failureDomain: String = "local",
     @Setting("Rack in which this instance runs; empty if unknown")
     public val rack: String = "",
-    @Setting("Number of this instance among the entry instances of its failure domain, from 0")
-    public val quotaSlot: Int = 0,
     @Setting("Entry instances that the failure domain has at most", min = 1.0)
     public val instancesInFailureDomain: Int = 1,
     @Setting("Failure domains that share the quotas", min = 1.0)
--- a/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
+++ b/core/src/main/kotlin/medlarroute/core/SettingsContradictions.kt
@@ -20,9 +20,6 @@
         expect(NAME.matches(instance.id), "instance.id", "must consist of $NAME_RULE, found `${instance.id}`")
         val domain = instance.failureDomain
         expect(NAME.matches(domain), "instance.failureDomain", "must consist of $NAME_RULE, found `$domain`")
-        val slotFits = instance.quotaSlot < instance.instancesInFailureDomain
-        val slots = instance.instancesInFailureDomain
-        expect(slotFits, "instance.quotaSlot", "must be below instance.instancesInFailureDomain, which is $slots")
         val engineDomain = settings.engine.failureDomain
         val sameDomain = !places.isSet("engine.failureDomain") || engineDomain == domain
         expect(sameDomain, "engine.failureDomain", "differs from instance.failureDomain, which is `$domain`")
--- a/core/src/test/kotlin/medlarroute/core/SettingsReaderTest.kt
+++ b/core/src/test/kotlin/medlarroute/core/SettingsReaderTest.kt
@@ -55,7 +55,7 @@
             instance:
               id: a.b
               failureDomain: north
-              quotaSlot: 4
+              rack: r4
             callers:
               port: 9000
               tls:
@@ -75,7 +75,6 @@
         """.trimIndent()
         findings(text) shouldContainExactly listOf(
             "s.yaml:2:7: instance.id: must consist of 1 to 64 letters, digits, `-` and `_`, found `a.b`",
-            "s.yaml:4:14: instance.quotaSlot: must be below instance.instancesInFailureDomain, which is 1",
             "s.yaml:8:5: callers.tls.privateKeyFile: must be set too, as certificateFile is set",
             "s.yaml:10:9: operators.port: is 9000 like callers.port",
             "s.yaml:12:18: engine.failureDomain: differs from instance.failureDomain, which is `north`",
