--- a/server/src/test/kotlin/medlarroute/server/InboxTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/InboxTest.kt
@@ -31,8 +31,8 @@
     @Test
     fun `concurrent producers and the consumer behave as if they ran one after the other`() {
         ModelCheckingOptions()
-            .iterations(5)
-            .invocationsPerIteration(100)
+            .iterations(10)
+            .invocationsPerIteration(200)
             .threads(3)
             .actorsPerThread(2)
             .check(Operations::class.java)
