--- a/core/src/main/kotlin/medlarroute/core/BackendPool.kt
+++ b/core/src/main/kotlin/medlarroute/core/BackendPool.kt
@@ -216,8 +216,7 @@
     private fun score(row: BackendRow, free: Double, nowNs: Long): Double {
         val step = floor(ln(speed(row)) / SPEED_QUANTUM + HALF) * SPEED_QUANTUM
         val slowness = exp(-step) * SPEED_WEIGHT
-        val affinity = if (isAffine(row)) 0.0 else AFFINITY_WEIGHT
-        val score = slowness + affinity + random.nextDouble() * JITTER
+        val score = slowness + random.nextDouble() * JITTER
         if (free >= MIN_FREE) return score + (1 - free / row.info.slots) * CROWD_WEIGHT
         setTimer(row, nowNs + (tables.kinds.all.medianNs() / 2).toLong().coerceAtLeast(MIN_REFRESH_NS))
         return PROBE_SCORE + score - free
@@ -225,9 +224,6 @@
 
     private fun group(row: BackendRow) = if (row.place < settings.longBackendShare) 1 else 0
 
-    private fun isAffine(row: BackendRow) =
-        settings.affinityParts <= 1 || (row.place * settings.affinityParts).toInt() == settings.affinityPart
-
     /** The best backend server in [route] for one more task; null if none may get one now. */
     fun choose(route: Set<FailureDomainId>?, isLong: Boolean, smallJob: Boolean, nowNs: Long): BackendRow? {
         probe(route, smallJob, nowNs)?.let { return it }
@@ -311,7 +307,6 @@
         const val SPEED_WEIGHT = 0.5
         const val CROWD_WEIGHT = 4.0
         const val JITTER = 0.1
-        const val AFFINITY_WEIGHT = 0.3
         const val LONG_PENALTY = 0.5
 
         /**
--- a/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
+++ b/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
@@ -17,8 +17,6 @@
  * @property ejectAfterFailures failed tasks in a row after which a backend server is ejected.
  * @property ejectionMs time until an ejected backend server is probed; doubles with each failed probe.
  * @property maxEjectionMs longest time between two probes.
- * @property affinityPart number of this instance among those of its failure domain, from 0.
- * @property affinityParts instances among which the backend servers are divided; 1 means no affinity.
  * @property slotShare part of the slots of a backend server that this instance may use if others use them too.
  * @property disabled mechanisms that are switched off, for measurements.
  */
@@ -39,8 +37,6 @@
     public val ejectAfterFailures: Int = 3,
     public val ejectionMs: Long = 2_000,
     public val maxEjectionMs: Long = 60_000,
-    public val affinityPart: Int = 0,
-    public val affinityParts: Int = 1,
     public val slotShare: Double = 0.3,
     public val disabled: Set<Mechanism> = emptySet(),
 )
--- a/lab/src/main/kotlin/medlarroute/lab/Tally.kt
+++ b/lab/src/main/kotlin/medlarroute/lab/Tally.kt
@@ -20,6 +20,7 @@
  * @property wastedMessages messages to and from backend servers that produced no useful answer, divided by all.
  * @property othersRefused fraction of the jobs of the teams within their quota that were refused.
  * @property othersP99Ms 99th percentile response time of the teams within their quota.
+ * @property fastestToAlone least response time of a complete job, divided by its bound alone in the cluster.
  * @property wallNsPerStart real time of the whole experiment per start, models included; not a benchmark.
  */
 @Serializable
@@ -51,6 +52,7 @@
     val greedyRefused: Double,
     val othersP99Ms: Double,
     val wallNsPerStart: Long,
+    val fastestToAlone: Double,
 )
 
 /** Percentiles at which distributions are reported. */
@@ -74,6 +76,7 @@
     private var uselessStarts = 0L
     private var inTimeWorkNs = 0.0
     private var maxRefusalNs = 0L
+    private var fastestToAlone = Double.MAX_VALUE
 
     fun started(task: TaskId) {
         starts++
@@ -106,6 +109,7 @@
         if (job.arrivalNs < warmupNs) return
         if (answer is Answer.Refused) maxRefusalNs = maxOf(maxRefusalNs, responseNs)
         if (!complete) return
+        fastestToAlone = minOf(fastestToAlone, responseNs.toDouble() / ideal.aloneNs[job.number])
         record(responses, responseNs / NS_PER_US)
         record(ideals, ideal.responseNs[job.number] / NS_PER_US)
         record(ratios, responseNs * RATIO_SCALE / ideal.responseNs[job.number])
@@ -147,6 +151,7 @@
             greedyRefused = refusedFraction(counted.filter { it.team == 0 }),
             othersP99Ms = othersResponses.getValueAtPercentile(P99) / US_PER_MS,
             wallNsPerStart = wallNs / starts.coerceAtLeast(1),
+            fastestToAlone = fastestToAlone,
         )
     }
 
