--- a/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
+++ b/core/src/main/kotlin/medlarroute/core/EngineSettings.kt
@@ -17,8 +17,6 @@
  * @property ejectAfterFailures failed tasks in a row after which a backend server is ejected.
  * @property ejectionMs time until an ejected backend server is probed; doubles with each failed probe.
  * @property maxEjectionMs longest time between two probes.
- * @property affinityPart number of this instance among those of its failure domain, from 0.
- * @property affinityParts instances among which the backend servers are divided; 1 means no affinity.
  * @property slotShare part of the slots of a backend server that this instance may use if others use them too.
  * @property disabled mechanisms that are switched off, for measurements.
  */
@@ -54,10 +52,6 @@
     public val ejectionMs: Long = 2_000,
     @Setting("Longest time between two probes of an ejected backend server", min = 1.0)
     public val maxEjectionMs: Long = 60_000,
-    @Setting("Number of this instance among those that divide the backend servers, from 0")
-    public val affinityPart: Int = 0,
-    @Setting("Instances among which the backend servers are divided; 1: no affinity", min = 1.0)
-    public val affinityParts: Int = 1,
     @Setting("Part of the slots of a backend server that this instance may use if others use them too", max = 1.0)
     public val slotShare: Double = 0.3,
     @Setting("Mechanisms that are switched off, for measurements only")
