Keep work of unknown length apart, and admit short jobs without counting queued long work

A trace of the blocked tasks showed that they were long tasks in the queue of short work: an instance that had not seen the kind yet took its first job of 110 tasks for short and filled the backend servers of short work with it. Ruled out before: the size of the slot shares, the steps of the presumed load, the weight that keeps short work off the other half. Also, admission counted queued long work as a wait of short jobs and refused them. Change: while its run time is not known, a kind counts as long if other kinds are known. The wait of a short job counts queued short work only.

--- a/core/src/main/kotlin/medlarroute/core/AdmissionSystem.kt
+++ b/core/src/main/kotlin/medlarroute/core/AdmissionSystem.kt
@@ -64,7 +64,15 @@
         for (task in job.tasks) {
             val declaredNs = if (Mechanism.DECLARED in off) null else task.spec.declared?.toNs()
             task.estimateNs = kind.estimateNs(declaredNs).toLong()
-            task.isLong = if (given == null) task.estimateNs >= longNs else given == LengthClass.LONG
+            task.isLong = when {
+                given != null -> given == LengthClass.LONG
+
+                // One job of unknown long work on all backend servers would hold up short work for its whole run time.
+                !kind.isKnown -> tables.kinds.all.isKnown
+
+                else -> task.estimateNs >= longNs
+            }
+            if (task.isLong && (given != null || kind.isKnown)) pool.hasLongWork = true
         }
     }
 
@@ -74,7 +82,8 @@
         // If tasks have waited for a while, the slots presumed free are not open to this instance.
         val slots = tables.outstanding + if (placement.isBacklogged(nowNs)) 0.0 else pool.freeSlots
         val timeoutNs = job.spec.timeout.toNs().toDouble()
-        val waitNs = tables.queuedWorkNs / slots.coerceAtLeast(1.0)
+        val aheadNs = if (job.tasks.any { it.isLong }) tables.queuedWorkNs else shortWorkNs()
+        val waitNs = aheadNs / slots.coerceAtLeast(1.0)
         val ownNs = job.tasks.sumOf { it.estimateNs } / slots.coerceAtLeast(1.0)
         val longestNs = tables.kinds.of(job.spec.kind).longestNs(job.tasks.size)
         val endNs = waitNs + maxOf(ownNs, longestNs)
@@ -90,6 +99,10 @@
         return Answer.Refused(listOf(Refusal(RefusalCode.OVERLOAD, "job", message)), retryAfter)
     }
 
+    /** Queued work that short work waits for; long work queues for other backend servers. */
+    private fun shortWorkNs(): Long =
+        if (Mechanism.LONG_SEPARATION in off) tables.queuedWorkNs else tables.queuedWorkNs - tables.queuedLongWorkNs
+
     private fun quotaOrNull(job: JobRow, rules: Rules, nowNs: Long): Answer.Refused? {
         if (Mechanism.QUOTAS in off || job.team !in rules.quotas) return null
         val rate = tables.shares[job.team] ?: 0.0
--- a/core/src/main/kotlin/medlarroute/core/PlacementSystem.kt
+++ b/core/src/main/kotlin/medlarroute/core/PlacementSystem.kt
@@ -48,12 +48,11 @@
     private fun Batch.add(task: TaskRow) {
         tasks.addLast(task)
         workNs += task.estimateNs
-        tables.queuedWorkNs += task.estimateNs
+        tables.countQueuedWork(task.estimateNs, lane.isLong)
         tables.queuedTasks++
     }
 
     private fun batchOf(job: JobRow, task: TaskRow, route: Set<FailureDomainId>?): Batch {
-        if (task.isLong) pool.hasLongWork = true
         job.batches.firstOrNull { it.lane.isLong == task.isLong }?.let { return it }
         val key = LaneKey(route, task.isLong, job.aboveQuota)
         val lane = lanes.getOrPut(key) { Lane(route, task.isLong, job.aboveQuota) }
@@ -89,7 +88,7 @@
     /** Forgets the queued tasks of a job that has ended. */
     fun discard(job: JobRow) {
         for (batch in job.batches) {
-            tables.queuedWorkNs -= batch.workNs
+            tables.countQueuedWork(-batch.workNs, batch.lane.isLong)
             tables.queuedTasks -= batch.tasks.size
             batch.tasks.clear()
             batch.workNs = 0
@@ -171,7 +170,7 @@
         }
         batch.tasks.removeFirst()
         batch.workNs -= task.estimateNs
-        tables.queuedWorkNs -= task.estimateNs
+        tables.countQueuedWork(-task.estimateNs, batch.lane.isLong)
         tables.queuedTasks--
         effects += start(task, backend, nowNs)
     }
--- a/core/src/main/kotlin/medlarroute/core/Tables.kt
+++ b/core/src/main/kotlin/medlarroute/core/Tables.kt
@@ -123,9 +123,18 @@
 
     /** Estimated work of all queued tasks at speed 1. */
     var queuedWorkNs = 0L
+
+    /** The part of [queuedWorkNs] that is long work. */
+    var queuedLongWorkNs = 0L
     var queuedTasks = 0
     var outstanding = 0
 
+    /** Counts work that was queued, or, if negative, taken from the queue. */
+    fun countQueuedWork(workNs: Long, isLong: Boolean) {
+        queuedWorkNs += workNs
+        if (isLong) queuedLongWorkNs += workNs
+    }
+
     fun taskOrNull(id: TaskId): TaskRow? = jobs[id.submission]?.tasks?.getOrNull(id.index)
 
     fun addJob(row: JobRow) {
