--- a/core/src/main/kotlin/medlarroute/core/BackendPool.kt
+++ b/core/src/main/kotlin/medlarroute/core/BackendPool.kt
@@ -195,13 +195,8 @@
     private fun limit(row: BackendRow): Int {
         val all = row.info.slots
         val unclaimed = all * (1 - SHARE_SLOPE * othersMean[group(row)])
-        val share = if (Mechanism.SLOT_SHARES in
-            off
-        ) {
-            all
-        } else {
-            maxOf(settings.slotShare * all, unclaimed, 1.0).roundToInt()
-        }
+        val hasShare = Mechanism.SLOT_SHARES !in off
+        val share = if (hasShare) maxOf(settings.slotShare * all, unclaimed, 1.0).roundToInt() else all
         return if (Mechanism.SLOW_START in off) share else row.window.coerceAtMost(share)
     }
 
