Name the home of a ticket in one place, and read task states in one place

The home of a ticket was put together in five places, once as an extension in the peer forwarder; it is now a property of TicketId. BackendLane read the task state in the replies to starts and to queries with two copies of the same branches; they share one function. A query whose reply has no task state now has the message that a start has; nothing else changes. Checked: lint, and 58 tests of the registry, backend client, job service, peers and hand-over.

--- a/core/src/main/kotlin/medlarroute/core/SubmissionRegistry.kt
+++ b/core/src/main/kotlin/medlarroute/core/SubmissionRegistry.kt
@@ -183,8 +183,7 @@
     }
 
     private fun find(id: TicketId, caller: CallerId): Found {
-        val isOwn = id.failureDomain == home.failureDomain && id.instance == home.instance
-        if (!isOwn || id.incarnation != home.incarnation) return Found.Not(Lookup.Expired)
+        if (id.home != home) return Found.Not(Lookup.Expired)
         if (id.sessionNumber > lastSessionNumber) return Found.Not(Lookup.UnknownTicket)
         val ticket = tickets[id.sessionNumber] ?: return Found.Not(Lookup.Expired)
         return if (ticket.caller == caller) Found.Live(ticket) else Found.Not(Lookup.UnknownTicket)
--- a/core/src/main/kotlin/medlarroute/core/SuccessorRecords.kt
+++ b/core/src/main/kotlin/medlarroute/core/SuccessorRecords.kt
@@ -43,7 +43,7 @@
     public fun lookup(submission: SubmissionId, caller: CallerId, digest: Long?): Lookup? {
         dropOld()
         val id = submission.ticket
-        val held = byHome[SubmissionRegistry.Home(id.failureDomain, id.instance, id.incarnation)] ?: return null
+        val held = byHome[id.home] ?: return null
         // A ticket that the home dropped before it stopped is not in the export: its submissions were handled.
         val ticket = held.tickets[id] ?: return Lookup.Expired
         if (ticket.caller != caller) return Lookup.UnknownTicket
--- a/core/src/main/kotlin/medlarroute/core/TicketId.kt
+++ b/core/src/main/kotlin/medlarroute/core/TicketId.kt
@@ -12,6 +12,9 @@
     public val incarnation: Incarnation,
     public val sessionNumber: Long,
 ) {
+    /** The process life that issued the ticket. */
+    public val home: SubmissionRegistry.Home get() = SubmissionRegistry.Home(failureDomain, instance, incarnation)
+
     override fun toString(): String = "$failureDomain.$instance.$incarnation.${sessionNumber.toString(RADIX)}"
 
     public companion object {
--- a/server/src/main/kotlin/medlarroute/server/BackendLane.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendLane.kt
@@ -208,19 +208,24 @@
         cause != null && Exceptions.peel(cause) is UnprocessedRequestException
 
     private fun replied(attempt: Attempt, reply: AggregatedHttpResponse) {
-        val usage = usageOf(reply)
         noteState(reply)
         // An id that was used before belongs to a task that may have run, although this request started nothing.
         if (reply.status() == HttpStatus.CONFLICT) return lost(attempt, "the backend server has seen the task before")
         if (reply.headers().get(TASK_STARTED) == NO) {
             val reason = if (leaving) NotStartedReason.LEAVING else NotStartedReason.BUSY
-            return finish(attempt) { notStarted(it, reason, usage) }
+            return finish(attempt) { notStarted(it, reason, usageOf(reply)) }
         }
+        settle(attempt, reply) { query(attempt, FIRST_QUERY_DELAY) }
+    }
+
+    /** Ends [attempt] by the task state in [reply]; calls [onRunning] if the task has not ended. */
+    private fun settle(attempt: Attempt, reply: AggregatedHttpResponse, onRunning: () -> Unit) {
         val message = messageOf(reply)
+        val usage = usageOf(reply)
         when (message?.state) {
             ReportedState.DONE -> finish(attempt) { sink.offer(done(it, message, usage)) }
             ReportedState.FAILED -> finish(attempt) { sink.offer(Input.TaskFailed(it, message.message, usage)) }
-            ReportedState.RUNNING -> query(attempt, FIRST_QUERY_DELAY)
+            ReportedState.RUNNING -> onRunning()
             null -> lost(attempt, "reply with status ${reply.status().code()} and no task state")
         }
     }
@@ -245,22 +250,10 @@
     }
 
     private fun queried(attempt: Attempt, delay: Duration, reply: AggregatedHttpResponse?, cause: Throwable?) {
-        val task = attempt.start.task
         if (reply == null) return queryFailed(attempt, delay, Exceptions.peel(checkNotNull(cause)))
         noteState(reply)
         if (reply.status() == HttpStatus.NOT_FOUND) return lost(attempt, "no reply, and the task is not known")
-        val message = messageOf(reply)
-        when (message?.state) {
-            ReportedState.DONE -> finish(attempt) { sink.offer(done(it, message, usageOf(reply))) }
-
-            ReportedState.FAILED -> finish(attempt) {
-                sink.offer(Input.TaskFailed(it, message.message, usageOf(reply)))
-            }
-
-            ReportedState.RUNNING -> queryLater(attempt, delay)
-
-            null -> lost(attempt, "state of task $task can't be read, status ${reply.status().code()}")
-        }
+        settle(attempt, reply) { queryLater(attempt, delay) }
     }
 
     /** A crashed backend server refuses connections and has forgotten its tasks; other faults may pass. */
--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -217,8 +217,7 @@
     }
 
     private fun isHandledHere(submission: SubmissionId): Boolean {
-        val ticket = submission.ticket
-        val home = SubmissionRegistry.Home(ticket.failureDomain, ticket.instance, ticket.incarnation)
+        val home = submission.ticket.home
         return home == identity || home in successors.homes()
     }
 
--- a/server/src/main/kotlin/medlarroute/server/JobService.kt
+++ b/server/src/main/kotlin/medlarroute/server/JobService.kt
@@ -129,10 +129,7 @@
         if (open.decrementAndGet() == 0 && draining) idle.complete(Unit)
     }
 
-    private fun isHomeOf(submission: SubmissionId): Boolean {
-        val ticket = submission.ticket
-        return SubmissionRegistry.Home(ticket.failureDomain, ticket.instance, ticket.incarnation) == home
-    }
+    private fun isHomeOf(submission: SubmissionId): Boolean = submission.ticket.home == home
 
     private fun replay(request: CallerRequest): CallerReply {
         val submission = request.submission
--- a/server/src/main/kotlin/medlarroute/server/PeerForwarder.kt
+++ b/server/src/main/kotlin/medlarroute/server/PeerForwarder.kt
@@ -7,8 +7,6 @@
 import medlarroute.core.FailureCode
 import medlarroute.core.HomeRoute
 import medlarroute.core.SubmissionId
-import medlarroute.core.SubmissionRegistry
-import medlarroute.core.TicketId
 import medlarroute.peer.ForwardRequest
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.CompletableFuture
@@ -16,10 +14,6 @@
 /** Makes the reply for a submission that failed and may have run. */
 internal typealias FailureReply = (SubmissionId?, FailureCode, String) -> CallerReply
 
-/** The home that the ticket names. */
-internal val TicketId.home: SubmissionRegistry.Home
-    get() = SubmissionRegistry.Home(failureDomain, instance, incarnation)
-
 /**
  * Hands requests to their home, or to the successor of a stopped home.
  *
