Share the HTTP/2 calls on silent connections, and remove what nothing uses

The clients for backend servers and for peers each had a copy of the PING and of the close that does not wait for streams; both call Http2Channel now. Removed: QuotaLedger.untilChange, Cli.printFindings and InstanceParts.meters, which nothing called.

--- a/cli/src/main/kotlin/medlarroute/cli/Cli.kt
+++ b/cli/src/main/kotlin/medlarroute/cli/Cli.kt
@@ -46,11 +46,6 @@
         err.println(text)
     }
 
-    /** Prints [findings], one a line, to standard error. */
-    fun printFindings(findings: List<Finding>) {
-        findings.forEach { note(it.toString()) }
-    }
-
     /** Runs the command that [args] name and returns its exit code. */
     fun run(args: List<String>): Int {
         val all = commands(this)
--- a/core/src/main/kotlin/medlarroute/core/QuotaLedger.kt
+++ b/core/src/main/kotlin/medlarroute/core/QuotaLedger.kt
@@ -75,13 +75,6 @@
         isRetired = true
     }
 
-    /** Time until a share changes by itself; null if none does. */
-    public fun untilChange(): Duration? {
-        val ends = lent.values.flatten().map { it.until } + borrowed.values.flatMap { it.values }.map { it.until }
-        val holdEnd = (settings.lease + settings.margin).takeIf { it > now }
-        return (ends + listOfNotNull(holdEnd)).minOrNull()?.let { (it - now).coerceAtLeast(Duration.ZERO) }
-    }
-
     /** What to ask of each of [peers] peers that are contacted now: the largest needs first, at most [limit]. */
     public fun demands(peers: Int, limit: Int): List<QuotaDemand> {
         val shares = shares()
--- a/server/src/main/kotlin/medlarroute/server/BackendConnection.kt
+++ b/server/src/main/kotlin/medlarroute/server/BackendConnection.kt
@@ -46,17 +46,11 @@
 
     /** Sends a PING; a live peer acknowledges it. */
     fun ping() {
-        val handler = channel.pipeline().get(Http2ConnectionHandler::class.java) ?: return
-        val context = channel.pipeline().context(handler)
-        handler.encoder().writePing(context, false, System.nanoTime(), context.newPromise())
-        context.flush()
+        channel.sendPing()
     }
 
     /** Closes the connection without waiting for its streams: the peer no longer answers. */
-    fun abort() {
-        // Close from the head of the pipeline. The HTTP/2 handler would first wait for open streams to end.
-        channel.pipeline().firstContext().close()
-    }
+    fun abort(): Unit = channel.closeWithoutStreams()
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (message is ByteBuf) lastReadAt = TimeSource.Monotonic.markNow()
--- a/server/src/main/kotlin/medlarroute/server/ClaimStore.kt
+++ b/server/src/main/kotlin/medlarroute/server/ClaimStore.kt
@@ -25,7 +25,10 @@
     /** The key belongs to [submission], whose home answers. */
     data class Taken(val submission: SubmissionId) : ClaimResult
 
-    /** The platform did not tell in time. The claim may still take effect, so the submission must never start. */
+    /**
+     * The platform did not tell in time, so nothing is started now. The claim may still take effect; a later request
+     * with the key then starts the submission at its home, once.
+     */
     data object Unknown : ClaimResult
 }
 
@@ -112,9 +115,7 @@
         checkNotNull(platform).insertAll(CLAIMS_TABLE, rows).whenComplete { result, _ ->
             written()
             if (result is Either.Right) {
-                batch.forEach {
-                    it.result.complete(ClaimResult.Claimed)
-                }
+                batch.forEach { it.result.complete(ClaimResult.Claimed) }
             } else {
                 settle(batch, result)
             }
--- a/server/src/main/kotlin/medlarroute/server/ConnectionWatch.kt
+++ b/server/src/main/kotlin/medlarroute/server/ConnectionWatch.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.http2.Http2ConnectionHandler
 import io.netty.util.AttributeKey
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.TimeUnit
@@ -86,17 +85,12 @@
         }
 
         private fun ping() {
-            val handler = channel.pipeline().get(Http2ConnectionHandler::class.java) ?: return
-            val context = channel.pipeline().context(handler)
-            handler.encoder().writePing(context, false, System.nanoTime(), context.newPromise())
-            context.flush()
-            pingedAt = TimeSource.Monotonic.markNow()
+            if (channel.sendPing()) pingedAt = TimeSource.Monotonic.markNow()
         }
 
         private fun giveUp() {
             log.warn("connection: a PING to {} had no reply, the connection is closed", channel.remoteAddress())
-            // Close from the head of the pipeline. The HTTP/2 handler would first wait for open streams to end.
-            channel.pipeline().firstContext().close()
+            channel.closeWithoutStreams()
         }
     }
 
--- a/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
+++ b/server/src/main/kotlin/medlarroute/server/EntryInstance.kt
@@ -76,7 +76,7 @@
     private val burn = BurnMeter(settings.report.objectives, identity.instance, identity.incarnation)
     private val jobs = JobService(identity, registry, successors, engineSink, limits, Recorder())
     private val extension =
-        extend(InstanceParts(settings, identity, engineSink, registry, successors, jobs, metrics.registry))
+        extend(InstanceParts(settings, identity, engineSink, registry, successors, jobs))
     private val backends =
         BackendClient(settings.backends, ::addressOf, engineSink, loop::elapsed, Replies())
     private val callerServer = callerServer()
@@ -148,9 +148,9 @@
     /** Requests that wait for a home elsewhere end before the engine and the peers are stopped. */
     private fun stopServing(limit: Duration) {
         val stopped = callerServer.stop()
-        stopped.orTimeout((limit + SHUTDOWN_MARGIN).inWholeMilliseconds, TimeUnit.MILLISECONDS).exceptionally {
-            null
-        }.join()
+        stopped.orTimeout((limit + SHUTDOWN_MARGIN).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            .exceptionally { null }
+            .join()
         CompletableFuture.allOf(CompletableFuture.runAsync(extension::stop), operatorServer.stop()).join()
         backends.close()
         loop.stop()
--- a/server/src/main/kotlin/medlarroute/server/Extension.kt
+++ b/server/src/main/kotlin/medlarroute/server/Extension.kt
@@ -1,7 +1,6 @@
 package medlarroute.server
 
 import com.linecorp.armeria.server.ServerBuilder
-import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.serialization.json.JsonObject
 import medlarroute.core.FailureCode
 import medlarroute.core.Job
@@ -19,7 +18,6 @@
     val registry: SubmissionRegistry,
     val successors: SuccessorRecords,
     val home: HomeHandler,
-    val meters: MeterRegistry,
 )
 
 /**
