--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
@@ -0,0 +1,17 @@
+package medlarroute.dispatch
+
+/** What the dispatcher asks for. Called on the dispatcher's thread. */
+public interface DispatchActions {
+    public fun start(order: StartOrder)
+
+    public fun stop(order: StopOrder)
+
+    /** [number] is passed back with the result. */
+    public fun look(order: LookOrder, number: Long)
+
+    /** The result of a job for each instance that waits for it. */
+    public fun ended(origin: JobOrigin, job: JobId, result: JobResult)
+
+    /** The backend server obeys another owner. */
+    public fun fenced(failureDomain: String)
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -0,0 +1,104 @@
+package medlarroute.dispatch
+
+/** Whether a job is taken. */
+internal sealed interface AdmissionDecision {
+    class Admitted(val job: JobRow) : AdmissionDecision
+
+    class Refused(val result: JobResult.NotRun) : AdmissionDecision
+}
+
+/** Admits a whole job or refuses it at once, going by the time at which its tasks can start. */
+internal class DispatchAdmission(
+    private val settings: DispatchSettings,
+    private val tables: DispatchTables,
+    private val log: EventLog,
+) {
+    fun decide(
+        request: JobRequest,
+        arrivedAtMs: Long,
+        deadlineMs: Long,
+        progress: JobProgress?,
+        nowMs: Long,
+    ): AdmissionDecision {
+        val configuration = tables.configuration
+            ?: return refused(request, NotRunCode.NO_CONFIGURATION, "no configuration yet", SHORT_RETRY_MS)
+        val queue = configuration.queueOrNull(request.queue)
+            ?: return refused(request, NotRunCode.UNKNOWN_QUEUE, "the configuration has no such queue", null)
+        val job = JobRow(request, queue, arrivedAtMs, deadlineMs)
+        estimate(job)
+        if (progress != null) return AdmissionDecision.Admitted(job)
+        impossibleOrNull(job)?.let { return refused(request, NotRunCode.CAN_NEVER_RUN, it, null) }
+        if (tables.jobs.size >= settings.maxOpenJobs) {
+            return refused(request, NotRunCode.OVERLOAD, "${settings.maxOpenJobs} jobs are open", SHORT_RETRY_MS)
+        }
+        return overload(job, nowMs) ?: AdmissionDecision.Admitted(job)
+    }
+
+    private fun estimate(job: JobRow) {
+        val runTime = tables.runTimes.getOrPut(job.queue.id) { RunTimeEstimate() }
+        val steps = job.request.steps
+        val chainsMs = DoubleArray(steps.size)
+        for ((number, step) in steps.withIndex()) {
+            job.estimatesMs[number] = runTime.predictMs(step.estimateMs)
+            chainsMs[number] = job.estimatesMs[number] + (step.after.maxOfOrNull { chainsMs[it] } ?: 0.0)
+        }
+        job.chainMs = chainsMs.maxOrNull() ?: 0.0
+        val objectiveMs = job.queue.stretch * job.chainMs + job.queue.objectiveMs
+        val reservedMs = job.chainMs + settings.overheadMs
+        job.latestStartMs = job.arrivedAtMs + (objectiveMs - reservedMs).toLong().coerceAtLeast(0)
+        val usefulMs = minOf(objectiveMs * LATE_FACTOR, (job.deadlineMs - job.arrivedAtMs).toDouble())
+        job.lastUsefulStartMs = maxOf(job.latestStartMs, job.arrivedAtMs + (usefulMs - reservedMs).toLong())
+    }
+
+    private fun impossibleOrNull(job: JobRow): String? {
+        val backends = tables.backends.values.filter { it.info.service == job.queue.service }
+        if (backends.isEmpty()) return null
+        for ((number, step) in job.request.steps.withIndex()) {
+            val fits = backends.any {
+                step.demand.fitsInto(it.info.capacity) && (step.requiredLabel == null || step.requiredLabel in it.info.labels)
+            }
+            if (!fits) return "no backend server can hold a task of step $number"
+        }
+        return null
+    }
+
+    /** Refuses a job that would start too late, going by the work that is served before it. */
+    private fun overload(job: JobRow, nowMs: Long): AdmissionDecision? {
+        var rate = 0.0
+        for (row in tables.backends.values) {
+            if (row.info.service != job.queue.service || row.info.draining || row.isUnreachable) continue
+            if (row.ejectedUntilMs <= nowMs) rate += row.info.capacity.cpuMillis * row.speed * PACKING
+        }
+        var aheadWork = job.queuedWork() / 2
+        for (other in tables.waiting) {
+            val first = other.everOrdered || other.latestStartMs <= job.latestStartMs
+            if (first && other.queue.service == job.queue.service) aheadWork += other.queuedWork()
+        }
+        val waitMs = if (rate > 0) aheadWork / rate else Double.MAX_VALUE
+        val budgetMs = job.latestStartMs - nowMs
+        if (waitMs <= budgetMs || tables.waiting.isEmpty() && rate > 0) return null
+        val retryAfterMs = if (rate > 0) (waitMs - budgetMs).toLong().coerceIn(SHORT_RETRY_MS, MAX_RETRY_MS) else SHORT_RETRY_MS
+        val reason = "predicted wait ${waitMs.toLong()} ms exceeds $budgetMs ms"
+        return refused(job.request, NotRunCode.OVERLOAD, reason, retryAfterMs)
+    }
+
+    private fun refused(request: JobRequest, code: NotRunCode, reason: String, retryAfterMs: Long?): AdmissionDecision {
+        log.event(
+            "dispatch", "job-refused", "job", request.id, "queue", request.queue, "code", code, "reason", reason,
+            "open", tables.jobs.size, "waiting", tables.waiting.size, "configuration", tables.configuration?.version,
+        )
+        return AdmissionDecision.Refused(JobResult.NotRun(code, reason, retryAfterMs))
+    }
+
+    private companion object {
+        /** An answer is of some use to a caller up to this many times its objective. */
+        const val LATE_FACTOR = 3.0
+
+        /** Part of a backend server's cores that tasks of the usual sizes fill. */
+        const val PACKING = 0.85
+
+        /** A crest lasts for seconds, so an earlier repeat meets the same queue. */
+        const val SHORT_RETRY_MS = 1_000L
+        const val MAX_RETRY_MS = 10_000L
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchConfiguration.kt
@@ -0,0 +1,54 @@
+package medlarroute.dispatch
+
+import kotlinx.serialization.Serializable
+
+/**
+ * A queue as the operators set it up.
+ *
+ * @property host, pathPrefix which requests of callers belong to it.
+ * @property priority 0 goes first.
+ * @property maxAttempts failed runs of one task after which its job has failed.
+ * @property stretch, objectiveMs a job is in time if it ends within [stretch] times its longest chain of tasks plus
+ *   [objectiveMs].
+ * @property needsAdvice only a policy service knows which backend servers may run its steps.
+ */
+@Serializable
+public data class QueueSettings(
+    public val id: QueueId,
+    public val host: String,
+    public val pathPrefix: String,
+    public val service: ServiceId,
+    public val priority: Int,
+    public val maxAttempts: Int,
+    public val stretch: Double,
+    public val objectiveMs: Long,
+    public val needsAdvice: Boolean = false,
+)
+
+/** A service. Backend servers with [rejectsOverload] refuse a start that exceeds their capacity. */
+@Serializable
+public data class ServiceSettings(public val id: ServiceId, public val rejectsOverload: Boolean)
+
+/** Limits on the requests of callers. */
+@Serializable
+public data class RequestLimits(public val headerBytes: Int, public val bodyBytes: Int, public val idleTimeoutMs: Long)
+
+/** All that operators configure, in one version. A higher [version] replaces a lower one. */
+@Serializable
+public data class DispatchConfiguration(
+    public val version: Long,
+    public val queues: List<QueueSettings>,
+    public val services: List<ServiceSettings>,
+    public val limits: RequestLimits,
+) {
+    private val queuesById by lazy { queues.associateBy { it.id } }
+    private val queuesByHost by lazy {
+        queues.groupBy { it.host }.mapValues { (_, queues) -> queues.sortedByDescending { it.pathPrefix.length } }
+    }
+
+    public fun queueOrNull(id: QueueId): QueueSettings? = queuesById[id]
+
+    /** The queue of [host] with the longest prefix of [path]. */
+    public fun queueOrNull(host: String, path: String): QueueSettings? =
+        queuesByHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -0,0 +1,286 @@
+package medlarroute.dispatch
+
+/** Takes in what backend servers say: results of orders, runs and ends. */
+internal class DispatchReplies(
+    private val settings: DispatchSettings,
+    private val tables: DispatchTables,
+    private val actions: DispatchActions,
+    private val ends: JobEndSystem,
+    private val health: BackendHealthSystem,
+    private val placement: DispatchPlacement,
+    private val log: EventLog,
+) {
+    /** Tasks whose backend server is out of sight, until no run of theirs can be alive. */
+    private class Orphan(val task: TaskRow, val run: Int, val freeAtMs: Long)
+
+    private val orphans = ArrayList<Orphan>()
+
+    fun startAnswered(order: StartOrder, result: StartResult, nowMs: Long) {
+        val row = tables.backends[order.backend.id] ?: return
+        val task = row.tasks[order.task]?.takeIf { it.run == order.run } ?: return
+        if (task.state != TaskState.STARTING && task.state != TaskState.UNCERTAIN) return
+        when (result) {
+            is StartResult.Started -> {
+                task.state = TaskState.RUNNING
+                task.confirmedAtMs = result.clockMs
+            }
+
+            is StartResult.Rejected -> rejected(row, task, result.reason, nowMs)
+
+            is StartResult.Unknown -> {
+                task.state = TaskState.UNCERTAIN
+                log.event(
+                    "dispatch", "start-unknown", "job", task.key.job, "task", task.key, "run", task.run,
+                    "backend", row.info.id, "reason", result.reason,
+                )
+                health.failed(row, result.reason, nowMs)
+            }
+        }
+    }
+
+    private fun rejected(row: BackendRow, task: TaskRow, reason: RejectReason, nowMs: Long) {
+        log.event(
+            "dispatch", "start-rejected", "job", task.key.job, "task", task.key, "run", task.run,
+            "backend", row.info.id, "reason", reason,
+        )
+        when (reason) {
+            RejectReason.FENCED -> {
+                // The new owner decides about the runs there.
+                requeue(task)
+                actions.fenced(row.info.failureDomain)
+                return
+            }
+
+            RejectReason.OLD_RUN -> task.run += RUN_SKIP
+
+            RejectReason.NO_ROOM -> row.heldUntilMs = nowMs + NO_ROOM_HOLD_MS
+
+            RejectReason.EXPIRED -> Unit
+
+            RejectReason.UNAVAILABLE -> health.failed(row, "unavailable", nowMs)
+
+            RejectReason.REFUSED -> return gone(row, "connection refused", nowMs)
+
+            RejectReason.INVALID -> task.failedOn += row
+        }
+        requeue(task)
+    }
+
+    private fun requeue(task: TaskRow) {
+        task.backend?.vacate(task)
+        val job = task.job
+        job.highestRun = maxOf(job.highestRun, 0)
+        if (job.ended || task.state == TaskState.DONE) return
+        placement.enqueue(task)
+    }
+
+    fun looked(order: LookOrder, number: Long, result: LookResult, nowMs: Long) {
+        val row = tables.backends[order.backend.id] ?: return
+        if (number != row.lookNumber) return
+        row.looking = false
+        when (result) {
+            is LookResult.Seen -> seen(row, result, nowMs)
+
+            LookResult.Fenced -> actions.fenced(row.info.failureDomain)
+
+            LookResult.Refused -> gone(row, "connection refused", nowMs)
+
+            LookResult.Replaced -> replaced(row, "another process has the address", nowMs)
+
+            is LookResult.Failed -> {
+                if (!row.isUnreachable) {
+                    row.unreachableSinceMs = nowMs
+                    log.event(
+                        "backend", "unreachable", "backend", row.info.id, "reason", result.reason,
+                        "tasks", row.tasks.size, "seenMsAgo", nowMs - row.seenAtMs,
+                    )
+                }
+            }
+        }
+    }
+
+    private fun seen(row: BackendRow, view: LookResult.Seen, nowMs: Long) {
+        if (row.info.incarnation != 0L && view.incarnation != row.info.incarnation) {
+            if (view.incarnation < row.info.incarnation) return
+            replaced(row, "incarnation ${view.incarnation} after ${row.info.incarnation}", nowMs)
+        }
+        row.info = row.info.copy(incarnation = view.incarnation)
+        if (row.seenAtMs == NEVER_MS || row.isUnreachable) {
+            log.event("backend", "reached", "backend", row.info.id, "runs", view.running.size)
+        }
+        row.unreachableSinceMs = NEVER_MS
+        row.clockOffsetMs = view.clockMs - nowMs
+        row.seenAtMs = nowMs
+        view.ended.forEach { ended(row, it, nowMs) }
+        row.acknowledgedEnd = maxOf(row.acknowledgedEnd, view.ended.maxOfOrNull { it.number } ?: 0)
+        compareRuns(row, view, nowMs)
+    }
+
+    private fun ended(row: BackendRow, end: SeenEnd, nowMs: Long) {
+        if (end.number <= row.acknowledgedEnd) return
+        row.unknownRuns.remove(end.task)
+        val task = row.tasks[end.task]
+        if (task == null || task.run != end.run) {
+            if (end.outcome == RunOutcome.DONE) row.unknownDone[end.task] = nowMs
+            return
+        }
+        row.vacate(task)
+        if (task.job.ended) return
+        when (end.outcome) {
+            RunOutcome.DONE -> done(row, task, nowMs)
+
+            RunOutcome.FAILED -> failed(row, task, nowMs)
+
+            RunOutcome.STOPPED, RunOutcome.LEASE_EXPIRED, RunOutcome.OTHER -> {
+                log.event(
+                    "dispatch", "run-lost", "job", task.key.job, "task", task.key, "run", task.run,
+                    "backend", row.info.id, "outcome", end.outcome,
+                )
+                requeue(task)
+            }
+        }
+    }
+
+    private fun done(row: BackendRow, task: TaskRow, nowMs: Long) {
+        task.state = TaskState.DONE
+        health.succeeded(row, task, (nowMs - task.orderedAtMs).toDouble())
+        val job = task.job
+        if (--job.openTasks == 0) return ends.end(job, JobResult.Complete, nowMs)
+        if (job.request.steps.size > 1) placement.unblock(job)
+    }
+
+    private fun failed(row: BackendRow, task: TaskRow, nowMs: Long) {
+        task.failures++
+        task.failedOn += row
+        log.event(
+            "dispatch", "run-failed", "job", task.key.job, "task", task.key, "run", task.run,
+            "backend", row.info.id, "failures", task.failures, "most", task.job.queue.maxAttempts,
+        )
+        // A task that has failed elsewhere, too, says little about this backend server.
+        if (task.failures == 1) health.failed(row, "failed runs", nowMs)
+        if (task.failures >= task.job.queue.maxAttempts) {
+            return ends.end(task.job, JobResult.Failed("a task has failed ${task.failures} times"), nowMs)
+        }
+        if (task.failedOn.size >= tables.backends.size) task.failedOn.clear()
+        requeue(task)
+    }
+
+    private fun compareRuns(row: BackendRow, view: LookResult.Seen, nowMs: Long) {
+        val running = view.running.associateBy { it.task }
+        row.unknownRuns.keys.retainAll(running.keys)
+        for (run in view.running) compareRun(row, run, nowMs)
+        val missing = row.tasks.values.filter { it.run != running[it.key]?.run }
+        missing.forEach { missing(row, it, view.clockMs) }
+    }
+
+    private fun compareRun(row: BackendRow, run: SeenRun, nowMs: Long) {
+        val task = row.tasks[run.task]
+        if (task == null || task.run != run.run) {
+            row.unknownRuns.getOrPut(run.task) { UnknownRun(run.run, nowMs) }
+            return
+        }
+        if (task.state == TaskState.STARTING || task.state == TaskState.UNCERTAIN) task.state = TaskState.RUNNING
+        if (task.isStopAsked) {
+            if (nowMs - task.stopAskedAtMs > STOP_REPEAT_MS) ends.stop(task, nowMs)
+        } else if (run.donePercent != task.donePercent) {
+            task.donePercent = run.donePercent
+            task.progressAtMs = nowMs
+        } else if (nowMs - task.progressAtMs > settings.hangMs) {
+            log.event(
+                "dispatch", "run-hung", "job", task.key.job, "task", task.key, "run", task.run,
+                "backend", row.info.id, "percent", run.donePercent, "forMs", nowMs - task.progressAtMs,
+            )
+            health.failed(row, "hung run", nowMs, weight = BackendHealthSystem.EJECT_AFTER)
+            ends.stop(task, nowMs)
+        }
+    }
+
+    /** The backend server neither runs the task nor lists its end. */
+    private fun missing(row: BackendRow, task: TaskRow, clockMs: Long) {
+        val isLost = when (task.state) {
+            TaskState.RUNNING -> clockMs > task.confirmedAtMs
+
+            // Later, the order is refused on arrival.
+            TaskState.STARTING, TaskState.UNCERTAIN -> clockMs > task.validUntilMs
+
+            TaskState.BLOCKED, TaskState.QUEUED, TaskState.DONE -> false
+        }
+        if (!isLost) return
+        log.event(
+            "dispatch", "run-missing", "job", task.key.job, "task", task.key, "run", task.run,
+            "backend", row.info.id, "state", task.state,
+        )
+        requeue(task)
+    }
+
+    /** The process is gone and so are its runs. */
+    private fun gone(row: BackendRow, reason: String, nowMs: Long) {
+        if (!row.isUnreachable) {
+            log.event("backend", "gone", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
+            row.unreachableSinceMs = nowMs
+        }
+        row.tasks.values.toList().forEach(::requeue)
+    }
+
+    /** A new process has the backend server's name: it holds nothing of before. */
+    fun replaced(row: BackendRow, reason: String, nowMs: Long) {
+        log.event("backend", "replaced", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
+        row.tasks.values.toList().forEach(::requeue)
+        row.unknownRuns.clear()
+        row.unknownDone.clear()
+        row.acknowledgedEnd = 0
+        row.clockOffsetMs = null
+        row.seenAtMs = NEVER_MS
+        row.looking = false
+        row.lookNumber++
+        row.lookSentAtMs = nowMs
+        row.free = row.info.capacity
+        row.info = row.info.copy(incarnation = 0)
+    }
+
+    /** The backend server is not ordered any more; its runs end with their lease at the latest. */
+    fun orphan(row: BackendRow, nowMs: Long) {
+        val freeAtMs = maxOf(row.leaseEndMs, nowMs)
+        for (task in row.tasks.values.toList()) {
+            row.vacate(task)
+            if (!task.job.ended) {
+                task.state = TaskState.UNCERTAIN
+                orphans += Orphan(task, task.run, freeAtMs)
+            }
+        }
+    }
+
+    fun runTimers(nowMs: Long) {
+        for (row in tables.backends.values) {
+            stopUnknownRuns(row, nowMs)
+            row.unknownDone.values.removeIf { nowMs - it > settings.unknownDoneMs }
+            if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > row.leaseEndMs) {
+                log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
+                row.tasks.values.toList().forEach(::requeue)
+            }
+        }
+        val due = orphans.filter { it.freeAtMs <= nowMs }
+        orphans.removeAll(due)
+        due.filter { it.task.run == it.run && it.task.state == TaskState.UNCERTAIN }.forEach { requeue(it.task) }
+    }
+
+    private fun stopUnknownRuns(row: BackendRow, nowMs: Long) {
+        val token = tables.token(row) ?: return
+        for ((task, run) in row.unknownRuns) {
+            val isReserved = !run.stopSent && tables.jobs[task.job] == null && nowMs - run.firstSeenMs < settings.unknownRunGraceMs
+            if (isReserved || run.stopSent && nowMs - run.firstSeenMs < STOP_REPEAT_MS) continue
+            run.stopSent = true
+            actions.stop(StopOrder(row.info, task, run.run, token))
+            log.event("dispatch", "unknown-run-stopped", "job", task.job, "task", task, "run", run.run, "backend", row.info.id)
+        }
+    }
+
+    private companion object {
+        /** More than the attempts at a job that a previous owner may have made. */
+        const val RUN_SKIP = 10
+
+        /** Room that was not there shows in the next look. */
+        const val NO_ROOM_HOLD_MS = 30L
+        const val STOP_REPEAT_MS = 500L
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -0,0 +1,231 @@
+package medlarroute.dispatch
+
+import kotlin.time.TimeSource
+
+/**
+ * Runs the jobs of all instances on the backend servers of the failure domains that this instance owns.
+ *
+ * Admits whole jobs or refuses them, orders tasks, renews leases and tells each waiting instance one result per job.
+ * Does no I/O. Not thread-safe: one thread makes all calls.
+ */
+public class Dispatcher(
+    private val settings: DispatchSettings,
+    private val clock: TimeSource.WithComparableMarks,
+    private val actions: DispatchActions,
+    private val log: EventLog,
+) {
+    private val origin = clock.markNow()
+    private val tables = DispatchTables()
+    private val ends = JobEndSystem(tables, actions, log)
+    private val placement = DispatchPlacement(settings, tables, actions, log)
+    private val admission = DispatchAdmission(settings, tables, log)
+    private val backends = BackendHealthSystem(settings, tables, log)
+    private val replies = DispatchReplies(settings, tables, actions, ends, backends, placement, log)
+    private val looks = LookSystem(settings, tables, actions)
+
+    /** Milliseconds since the dispatcher was created. */
+    public fun nowMs(): Long = origin.elapsedNow().inWholeMilliseconds
+
+    public val openJobs: Int get() = tables.jobs.size
+
+    /** Accepted jobs of [queue] of which no task was ever ordered. */
+    public fun waitingJobs(queue: QueueId): Int =
+        tables.jobs.values.count { it.queue.id == queue && !it.everOrdered }
+
+    /** Failure domains that this instance owns. */
+    public val ownedDomains: Set<String> get() = tables.tokens.keys
+
+    public fun configure(configuration: DispatchConfiguration) {
+        tables.configuration = configuration
+    }
+
+    /** Takes over [failureDomain]; orders there carry [token] from now on. */
+    public fun own(failureDomain: String, token: Long) {
+        tables.tokens[failureDomain] = token
+    }
+
+    /** Gives [failureDomain] up. Tasks that run there may go on under another owner, so they are left alone. */
+    public fun disown(failureDomain: String) {
+        tables.tokens.remove(failureDomain) ?: return
+        val lost = tables.backends.values.filter { it.info.failureDomain == failureDomain }
+        lost.forEach { forget(it, nowMs()) }
+    }
+
+    /** Replaces the list of backend servers of the owned failure domains. */
+    public fun listBackends(listed: Collection<BackendInfo>) {
+        val nowMs = nowMs()
+        val owned = listed.filter { it.failureDomain in tables.tokens }.associateBy { it.id }
+        tables.backends.values.filter { it.info.id !in owned }.forEach { forget(it, nowMs) }
+        owned.values.forEach { listed(it, nowMs) }
+    }
+
+    private fun listed(info: BackendInfo, nowMs: Long) {
+        val row = tables.backends[info.id]
+        if (row == null) {
+            tables.backends[info.id] = BackendRow(info)
+            return
+        }
+        if (!info.isSameProcess(row.info)) {
+            replies.replaced(row, "listed with another process", nowMs)
+            row.info = info
+            return
+        }
+        if (info.draining != row.info.draining) log.event("backend", "draining", "backend", info.id, "draining", info.draining)
+        val capacityChange = info.capacity - row.info.capacity
+        row.free += capacityChange
+        row.info = if (info.incarnation == 0L) info.copy(incarnation = row.info.incarnation) else info
+    }
+
+    private fun forget(row: BackendRow, nowMs: Long) {
+        tables.backends.remove(row.info.id)
+        row.removed = true
+        replies.orphan(row, nowMs)
+    }
+
+    /**
+     * Takes a job for [origin], which gets one result. A job that is open already is joined.
+     *
+     * @param timeoutMs how long the caller still waits.
+     * @param waitedMs how long the caller has waited already.
+     * @param progress what a previous owner knew of the job; null if the job is new.
+     */
+    public fun submit(
+        request: JobRequest,
+        origin: JobOrigin,
+        timeoutMs: Long,
+        waitedMs: Long = 0,
+        progress: JobProgress? = null,
+    ) {
+        val nowMs = nowMs()
+        tables.jobs[request.id]?.let { return it.join(origin) }
+        val job = when (val decision = admission.decide(request, nowMs - waitedMs, nowMs + timeoutMs, progress, nowMs)) {
+            is AdmissionDecision.Refused -> return actions.ended(origin, request.id, decision.result)
+            is AdmissionDecision.Admitted -> decision.job
+        }
+        job.origins += origin
+        tables.jobs[request.id] = job
+        progress?.let { resume(job, it, nowMs) }
+        placement.unblock(job)
+        if (job.openTasks == 0) ends.end(job, JobResult.Complete, nowMs)
+        placement.run(nowMs)
+    }
+
+    private fun JobRow.join(origin: JobOrigin) {
+        origins += origin
+        log.event("dispatch", "job-joined", "job", request.id, "origin", origin.instance)
+    }
+
+    /** Adopts what the tables know of an earlier attempt at the job. */
+    private fun resume(job: JobRow, progress: JobProgress, nowMs: Long) {
+        job.highestRun = progress.highestRun
+        job.everOrdered = true
+        val done = progress.done.toSet()
+        var adopted = 0
+        for (task in job.allTasks()) {
+            if (task.key in done || tables.backends.values.any { it.unknownDone.remove(task.key) != null }) {
+                task.state = TaskState.DONE
+                job.openTasks--
+            } else if (adopt(task, nowMs)) {
+                adopted++
+            }
+        }
+        if (adopted + done.size < job.tasks.sumOf { it.size }) job.notBeforeMs = safeStartMs(nowMs)
+        log.event("dispatch", "job-resumed", "job", job.request.id, "done", done.size, "adopted", adopted)
+    }
+
+    private fun adopt(task: TaskRow, nowMs: Long): Boolean {
+        val row = tables.backends.values.firstOrNull { it.unknownRuns[task.key]?.stopSent == false } ?: return false
+        val found = row.unknownRuns.remove(task.key) ?: return false
+        row.occupy(task)
+        task.state = TaskState.RUNNING
+        task.run = found.run
+        task.orderedAtMs = found.firstSeenMs
+        task.progressAtMs = nowMs
+        task.confirmedAtMs = row.clockAt(nowMs) ?: Long.MIN_VALUE
+        return true
+    }
+
+    /** Runs of a previous owner are known once all backend servers have been seen, or have lapsed after a lease. */
+    private fun safeStartMs(nowMs: Long): Long =
+        if (tables.backends.values.all { it.seenAtMs != NEVER_MS }) nowMs else nowMs + longestLeaseMs()
+
+    private fun longestLeaseMs(): Long = (MAX_LEASE_MS * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
+
+    /** The caller has left, or its instance gives the job up. */
+    public fun cancel(job: JobId, origin: JobOrigin, reason: String) {
+        val row = tables.jobs[job] ?: return
+        row.origins -= origin
+        if (row.origins.isNotEmpty()) return
+        log.event("dispatch", "job-cancelled", "job", job, "reason", reason, "ordered", row.everOrdered)
+        ends.end(row, JobResult.Cancelled, nowMs())
+        placement.run(nowMs())
+    }
+
+    /** Cancels the job for all who wait for it. */
+    public fun cancelForAll(job: JobId): Boolean {
+        val row = tables.jobs[job] ?: return false
+        ends.end(row, JobResult.Cancelled, nowMs())
+        return true
+    }
+
+    /** State of a job that is open here. */
+    public fun isStarted(job: JobId): Boolean? = tables.jobs[job]?.everOrdered
+
+    /** The instance has gone: nobody waits for its jobs. */
+    public fun originLost(instance: String) {
+        val gone = tables.jobs.values.flatMap { job -> job.origins.filter { it.instance == instance }.map { job to it } }
+        gone.forEach { (job, origin) -> cancel(job.request.id, origin, "instance $instance is lost") }
+    }
+
+    public fun startAnswered(order: StartOrder, result: StartResult) {
+        replies.startAnswered(order, result, nowMs())
+        placement.run(nowMs())
+    }
+
+    public fun looked(order: LookOrder, number: Long, result: LookResult) {
+        replies.looked(order, number, result, nowMs())
+        looks.run(nowMs())
+        placement.run(nowMs())
+    }
+
+    /** Does what is due; called every few milliseconds. */
+    public fun tick() {
+        val nowMs = nowMs()
+        replies.runTimers(nowMs)
+        ends.runDeadlines(nowMs)
+        looks.run(nowMs)
+        placement.run(nowMs)
+    }
+
+    /** Ends all jobs here so that the next owner can go on with them. Returns what is known of each. */
+    public fun handOver(): List<Triple<JobOrigin, JobId, JobProgress>> {
+        val moved = ArrayList<Triple<JobOrigin, JobId, JobProgress>>()
+        for (job in tables.jobs.values) {
+            val done = job.allTasks().filter { it.state == TaskState.DONE }.map { it.key }.toList()
+            job.origins.forEach { moved += Triple(it, job.request.id, JobProgress(done, job.highestRun)) }
+            job.ended = true
+        }
+        tables.jobs.clear()
+        tables.waiting.clear()
+        tables.backends.clear()
+        return moved
+    }
+
+    /** Whether some backend server of [failureDomain] has answered within [ageMs]; null if none is listed. */
+    public fun isInContact(failureDomain: String, ageMs: Long): Boolean? {
+        val rows = tables.backends.values.filter { it.info.failureDomain == failureDomain }
+        if (rows.isEmpty()) return null
+        return rows.any { nowMs() - it.seenAtMs <= ageMs }
+    }
+
+    /** Whether some backend server can be ordered now. */
+    public val hasBackend: Boolean get() = tables.backends.values.any { it.seenAtMs != NEVER_MS && !it.isUnreachable }
+
+    public companion object {
+        /** Longest lease that a backend server grants, on its own clock; set by the platform. */
+        public const val MAX_LEASE_MS: Long = 1_000
+
+        /** Time that the end of a run may take once its lease has lapsed. */
+        private const val STOP_MARGIN_MS = 80L
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -0,0 +1,329 @@
+package medlarroute.dispatch
+
+import io.netty.channel.EventLoopGroup
+import java.util.concurrent.TimeUnit
+import kotlin.time.TimeSource
+
+/**
+ * Settings of a [FleetInstance].
+ *
+ * @property failureDomains all failure domains of the deployment.
+ * @property seeds addresses where peers may be found while the store can't be reached.
+ */
+public data class FleetSettings(
+    val self: PeerMember,
+    val failureDomains: List<String>,
+    val seeds: List<Pair<String, Int>>,
+    val ownership: OwnershipSettings,
+    val dispatch: DispatchSettings = DispatchSettings(),
+    val network: PeerNetworkSettings = PeerNetworkSettings(),
+)
+
+/**
+ * One instance: takes jobs of its callers, and orders the backend servers of the failure domains that it owns for all
+ * instances.
+ *
+ * Runs on the one event loop of [group]; all calls are made there, except [start].
+ */
+public class FleetInstance(
+    private val settings: FleetSettings,
+    private val group: EventLoopGroup,
+    private val store: FleetStore,
+    private val orders: BackendOrders,
+    private val clock: TimeSource.WithComparableMarks,
+    private val log: EventLog,
+    private val onConfiguration: (DispatchConfiguration) -> Unit = {},
+) {
+    private var self = settings.self
+    private val network = PeerNetwork({ self }, settings.network, group, clock, Peers(), log)
+    private val dispatcher = Dispatcher(settings.dispatch, clock, Actions(), log)
+    private val ownership = Ownership(
+        settings.self,
+        settings.failureDomains,
+        settings.ownership,
+        clock,
+        store,
+        Owned(),
+        log,
+    )
+    private val results = RecentResults(clock)
+    private val lostOrigins = HashSet<String>()
+    private var backends: List<BackendInfo> = emptyList()
+    private var leaving = false
+
+    /** Requests of this instance's callers. */
+    public val entry: EntryService = EntryService(clock, Link(), log)
+
+    /** The configuration in force; null before the first is known. */
+    public var configuration: DispatchConfiguration? = null
+        private set
+
+    /** Whether a job submitted now would be taken. */
+    public val isReady: Boolean
+        get() = !leaving && configuration != null && Link().ownerOrNull() != null &&
+            (dispatcher.ownedDomains.isEmpty() || dispatcher.hasBackend)
+
+    /** Starts listening to peers, then joins the others. */
+    public fun start() {
+        network.listen(settings.self.host, settings.self.port)
+        group.next().execute {
+            register()
+            store.watchConfiguration(::configured)
+            store.watchMembers(::listed)
+            settings.seeds.forEach { (host, port) -> if (host != self.host) network.dialAddress(host, port) }
+        }
+        every(settings.network.beatMs) { network.tick() }
+        every(OWNERSHIP_TICK_MS) { ownershipTick() }
+        every(DISPATCH_TICK_MS) { if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.tick() }
+    }
+
+    private fun every(periodMs: Long, action: () -> Unit) {
+        val guarded = Runnable {
+            try {
+                action()
+            } catch (e: RuntimeException) {
+                log.event("instance", "tick-failed", "error", e.toString(), "at", e.stackTrace.firstOrNull())
+            }
+        }
+        group.next().scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS)
+    }
+
+    private fun register() {
+        store.register(self) { number ->
+            if (number == null) {
+                group.next().schedule({ register() }, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS)
+            } else {
+                self = self.copy(number = number)
+                ownership.registered(number)
+                log.event("instance", "registered", "number", number)
+                network.broadcast(PeerMessage.Hello(self))
+            }
+        }
+    }
+
+    private fun listed(members: List<PeerMember>) {
+        network.list(members.filter { it.instance != self.instance })
+    }
+
+    private fun configured(next: DispatchConfiguration) {
+        val current = configuration
+        if (current != null && next.version <= current.version) return
+        configuration = next
+        log.event("configuration", "in-force", "version", next.version, "was", current?.version, "queues", next.queues.size)
+        dispatcher.configure(next)
+        onConfiguration(next)
+    }
+
+    private fun ownershipTick() {
+        ownership.tick(network.views()) { dispatcher.isInContact(it, CONTACT_MS) }
+        store.watchBackends(shouldWatchBackends(), ::backendsListed)
+        for (peer in network.views()) {
+            if (peer.life == PeerLife.ALIVE) {
+                lostOrigins -= peer.member.instance
+            } else if (lostOrigins.add(peer.member.instance)) {
+                dispatcher.originLost(peer.member.instance)
+            }
+        }
+        entry.tick()
+    }
+
+    /** Owners watch the list of backend servers; if the store turns one away, the most senior other watches for it. */
+    private fun shouldWatchBackends(): Boolean {
+        if (dispatcher.ownedDomains.isNotEmpty()) return true
+        val alive = network.views().filter { it.life == PeerLife.ALIVE }
+        val needsHelp = alive.any { it.owned.isNotEmpty() && network.beatOf(it.member.instance)?.storeReachable == false }
+        if (!needsHelp || !store.isReachable) return false
+        return alive.none { it.member.number < self.number && network.beatOf(it.member.instance)?.storeReachable == true }
+    }
+
+    private fun backendsListed(listed: List<BackendInfo>) {
+        val changed = listed != backends
+        backends = listed
+        if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.listBackends(listed)
+        if (changed) network.broadcast(PeerMessage.Backends(listed))
+    }
+
+    /** Accepted jobs of [queue] that wait here. */
+    public fun waitingJobs(queue: QueueId): Int = dispatcher.waitingJobs(queue)
+
+    /** Cancels [job] wherever it runs. Returns whether it was open here or was passed on to the owner. */
+    public fun cancel(job: JobId): Boolean {
+        if (dispatcher.cancelForAll(job)) return true
+        val owner = Link().ownerOrNull() ?: return false
+        if (owner != self.instance) network.send(owner, PeerMessage.Cancel(0, job, everyone = true))
+        return owner != self.instance
+    }
+
+    /** Hands over to the other instances. Requests of this instance's callers go on until they have their results. */
+    public fun leave() {
+        if (leaving) return
+        leaving = true
+        log.event("instance", "leaving", "openRequests", entry.openRequests, "openJobs", dispatcher.openJobs)
+        ownership.leave()
+        network.broadcast(beat())
+    }
+
+    private fun beat() =
+        PeerMessage.Beat(configuration?.version ?: 0, ownership.owned, store.isReachable, leaving)
+
+    private inner class Owned : OwnershipListener {
+        override fun owned(failureDomain: String, token: Long) {
+            dispatcher.own(failureDomain, token)
+            dispatcher.listBackends(backends)
+            network.broadcast(beat())
+            dispatcher.tick()
+        }
+
+        override fun disowned(failureDomain: String) {
+            val isLast = dispatcher.ownedDomains == setOf(failureDomain)
+            if (isLast) {
+                val moved = dispatcher.handOver()
+                dispatcher.disown(failureDomain)
+                network.broadcast(beat())
+                moved.forEach { (origin, job, progress) -> tellMoved(origin, job, progress) }
+            } else {
+                dispatcher.disown(failureDomain)
+            }
+        }
+    }
+
+    private fun tellMoved(origin: JobOrigin, job: JobId, progress: JobProgress) {
+        if (origin.instance == self.instance) {
+            group.next().execute { entry.moved(origin.request, progress) }
+        } else {
+            network.send(origin.instance, PeerMessage.Moved(origin.request, job, progress))
+        }
+    }
+
+    private inner class Actions : DispatchActions {
+        override fun start(order: StartOrder) = orders.start(order) { dispatcher.startAnswered(order, it) }
+
+        override fun stop(order: StopOrder) = orders.stop(order) {
+            if (!it) log.event("dispatch", "stop-unanswered", "job", order.task.job, "task", order.task, "backend", order.backend.id)
+        }
+
+        override fun look(order: LookOrder, number: Long) = orders.look(order) { dispatcher.looked(order, number, it) }
+
+        override fun ended(origin: JobOrigin, job: JobId, result: JobResult) {
+            if (origin.instance == self.instance) return entry.ended(origin.request, result)
+            results.record(origin, result)
+            network.send(origin.instance, PeerMessage.Ended(origin.request, job, result))
+        }
+
+        override fun fenced(failureDomain: String) = ownership.fenced(failureDomain)
+    }
+
+    private inner class Link : OwnerLink {
+        override fun ownerOrNull(): String? {
+            if (dispatcher.ownedDomains.isNotEmpty()) return self.instance
+            return network.views().filter { it.life == PeerLife.ALIVE && it.owned.isNotEmpty() }
+                .minWithOrNull(compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number })
+                ?.member?.instance
+        }
+
+        override fun isOwner(instance: String): Boolean =
+            if (instance == self.instance) {
+                dispatcher.ownedDomains.isNotEmpty()
+            } else {
+                network.beatOf(instance)?.owned?.isNotEmpty() == true
+            }
+
+        override fun submit(owner: String, message: PeerMessage.Submit) {
+            if (owner == self.instance) submitted(self.instance, message) else network.send(owner, message)
+        }
+
+        override fun cancel(owner: String, message: PeerMessage.Cancel) {
+            if (owner == self.instance) cancelled(self.instance, message) else network.send(owner, message)
+        }
+    }
+
+    private fun submitted(instance: String, message: PeerMessage.Submit) {
+        val origin = JobOrigin(instance, message.number)
+        val recorded = results.find(origin)
+        when {
+            recorded != null -> network.send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
+            dispatcher.ownedDomains.isEmpty() -> tellMoved(origin, message.job.id, message.progress ?: JobProgress())
+            else -> dispatcher.submit(message.job, origin, message.timeoutMs, message.waitedMs, message.progress)
+        }
+    }
+
+    private fun cancelled(instance: String, message: PeerMessage.Cancel) {
+        if (message.everyone) {
+            dispatcher.cancelForAll(message.job)
+        } else {
+            dispatcher.cancel(message.job, JobOrigin(instance, message.number), "caller left")
+        }
+    }
+
+    private inner class Peers : PeerListener {
+        override fun received(peer: PeerMember, message: PeerMessage) {
+            when (message) {
+                is PeerMessage.Hello -> Unit
+                is PeerMessage.Beat -> heard(peer, message)
+                is PeerMessage.Submit -> submitted(peer.instance, message)
+                is PeerMessage.Cancel -> cancelled(peer.instance, message)
+                is PeerMessage.Ended -> entry.ended(message.number, message.result)
+                is PeerMessage.Moved -> entry.moved(message.number, message.progress)
+                is PeerMessage.Configuration -> configured(message.configuration)
+                is PeerMessage.Backends -> received(message.backends)
+                is PeerMessage.Members -> message.members.forEach { if (it.instance != self.instance) network.learn(it) }
+            }
+        }
+
+        private fun heard(peer: PeerMember, beat: PeerMessage.Beat) {
+            val mine = configuration ?: return
+            if (beat.configurationVersion < mine.version) network.send(peer.instance, PeerMessage.Configuration(mine))
+        }
+
+        private fun received(listed: List<BackendInfo>) {
+            if (store.isReachable && dispatcher.ownedDomains.isNotEmpty()) return
+            backends = listed
+            if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.listBackends(listed)
+        }
+
+        override fun connected(peer: PeerMember) {
+            network.send(peer.instance, PeerMessage.Members(network.members() + self))
+            if (dispatcher.ownedDomains.isNotEmpty()) network.send(peer.instance, PeerMessage.Backends(backends))
+            entry.reconnected(peer.instance)
+        }
+
+        override fun beat(): PeerMessage.Beat = this@FleetInstance.beat()
+    }
+
+    private companion object {
+        const val OWNERSHIP_TICK_MS = 50L
+        const val DISPATCH_TICK_MS = 20L
+        const val REGISTER_RETRY_MS = 300L
+
+        /** A failure domain none of whose backend servers has answered for so long is out of reach. */
+        const val CONTACT_MS = 1_000L
+    }
+}
+
+/** Results of the last seconds, for an instance whose connection broke before it got one. Bounded. */
+internal class RecentResults(clock: TimeSource.WithComparableMarks) {
+    private class Recorded(val result: JobResult, val atMs: Long)
+
+    private val origin = clock.markNow()
+    private val results = LinkedHashMap<JobOrigin, Recorded>()
+
+    fun record(request: JobOrigin, result: JobResult) {
+        val nowMs = origin.elapsedNow().inWholeMilliseconds
+        results[request] = Recorded(result, nowMs)
+        val oldest = results.entries.iterator()
+        while (oldest.hasNext()) {
+            val isDue = results.size > MOST || nowMs - oldest.next().value.atMs > KEPT_MS
+            if (!isDue) return
+            oldest.remove()
+        }
+    }
+
+    fun find(request: JobOrigin): JobResult? = results[request]?.result
+
+    private companion object {
+        const val MOST = 10_000
+
+        /** A broken connection between instances is replaced within a second. */
+        const val KEPT_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobRequest.kt
@@ -0,0 +1,32 @@
+package medlarroute.dispatch
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Tasks of a job that may run at the same time.
+ *
+ * @property estimateMs the caller's rough estimate of the run time of one task; 0 if there is none.
+ * @property after steps whose tasks must all be done before the first task of this one starts.
+ * @property requiredLabel label that a backend server must have.
+ * @property preferredRack rack that holds the data; elsewhere the tasks run slower.
+ * @property maxPerBackend most tasks of the step on one backend server at a time; null for no limit.
+ */
+@Serializable
+public data class StepRequest(
+    public val taskCount: Int,
+    public val demand: Resources,
+    public val estimateMs: Long = 0,
+    public val after: List<Int> = emptyList(),
+    public val requiredLabel: String? = null,
+    public val preferredRack: String? = null,
+    public val maxPerBackend: Int? = null,
+)
+
+/** A job as its caller submitted it. [payload] is passed to each task unread. */
+@Serializable
+public data class JobRequest(
+    public val id: JobId,
+    public val queue: QueueId,
+    public val payload: String,
+    public val steps: List<StepRequest>,
+)
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/LookSystem.kt
@@ -0,0 +1,42 @@
+package medlarroute.dispatch
+
+/** Keeps one look in flight to each backend server, which renews leases and brings ends. */
+internal class LookSystem(
+    private val settings: DispatchSettings,
+    private val tables: DispatchTables,
+    private val actions: DispatchActions,
+) {
+    fun run(nowMs: Long) {
+        for (row in tables.backends.values) {
+            if (row.looking && nowMs - row.lookSentAtMs > settings.lookWaitMs + settings.lookTimeoutMs) row.looking = false
+            if (!row.looking && nowMs >= nextLookMs(row)) look(row, nowMs)
+        }
+    }
+
+    private fun nextLookMs(row: BackendRow): Long =
+        if (row.isUnreachable) row.lookSentAtMs + UNREACHABLE_INTERVAL_MS else row.lookSentAtMs
+
+    private fun look(row: BackendRow, nowMs: Long) {
+        val token = tables.token(row) ?: return
+        row.looking = true
+        row.lookNumber++
+        row.lookSentAtMs = nowMs
+        val clockMs = row.clockAt(nowMs)
+        // The first look only reads the clock and the lists.
+        val leaseUntilMs = clockMs?.plus(settings.leaseMs)
+        if (leaseUntilMs != null) row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs))
+        val waitMs = if (row.seenAtMs == NEVER_MS) 0 else settings.lookWaitMs
+        actions.look(LookOrder(row.info, token, leaseUntilMs, row.acknowledgedEnd, waitMs), row.lookNumber)
+    }
+
+    private companion object {
+        const val UNREACHABLE_INTERVAL_MS = 250L
+    }
+}
+
+/** Latest end, on the dispatcher's clock, of a lease that is granted now. */
+internal fun leaseEnd(settings: DispatchSettings, nowMs: Long): Long =
+    nowMs + (settings.leaseMs * (1 + settings.clockDrift)).toLong() + LEASE_MARGIN_MS
+
+/** Error of the estimate of a backend server's clock, and the time in which lapsed runs are ended. */
+private const val LEASE_MARGIN_MS = 100L
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -0,0 +1,310 @@
+package medlarroute.dispatch
+
+import kotlin.time.TimeSource
+
+/** What is known of the life of a peer. */
+public enum class PeerLife {
+    /** Heard of within the silence limit. */
+    ALIVE,
+
+    /** Not heard of. It may be frozen, cut off or dead. */
+    SILENT,
+
+    /** Its machine refused a connection, so the process is gone. */
+    DEAD,
+}
+
+/** A peer as [Ownership] sees it. [owned] maps the failure domains it says it owns to their tokens. */
+public data class PeerView(
+    public val member: PeerMember,
+    public val life: PeerLife,
+    public val owned: Map<String, Long>,
+    public val leaving: Boolean,
+)
+
+/** Changes of ownership on this instance. */
+public interface OwnershipListener {
+    public fun owned(failureDomain: String, token: Long)
+
+    public fun disowned(failureDomain: String)
+}
+
+/**
+ * Decides which failure domains' backend servers this instance orders.
+ *
+ * One instance owns all failure domains where it reaches them; the owner of the most stays, then the most senior. The
+ * record in the store is the witness: an owner that peers don't hear is replaced only when its record has not been
+ * renewed for [OwnershipSettings.staleMs]. If the store can't be reached either, an instance takes a failure domain
+ * over only if it hears more than half of the instances there. Backend servers refuse all but the highest token, so
+ * two owners never both order one of them.
+ *
+ * Not thread-safe.
+ */
+public class Ownership(
+    private val self: PeerMember,
+    private val failureDomains: List<String>,
+    private val settings: OwnershipSettings,
+    clock: TimeSource.WithComparableMarks,
+    private val store: FleetStore,
+    private val listener: OwnershipListener,
+    private val log: EventLog,
+) {
+    private class Domain(val name: String) {
+        var version = 0L
+        var record: OwnerRecord? = null
+
+        /** When the record was last seen to change; null before the first reading. */
+        var changedAtMs: Long? = null
+        var ownedToken: Long? = null
+    }
+
+    private val origin = clock.markNow()
+    private val domains = failureDomains.associateWith { Domain(it) }
+    private var number = self.number
+    private var peers: List<PeerView> = emptyList()
+    private var storeCallInFlight = false
+    private var nextStoreCallMs = 0L
+    private var renewedAtMs = 0L
+    private var suspectSinceMs: Long? = null
+    private var leaving = false
+    private var storeFailures = 0
+
+    /** Tokens of the owned failure domains. */
+    public val owned: Map<String, Long>
+        get() = domains.values.mapNotNull { domain -> domain.ownedToken?.let { domain.name to it } }.toMap()
+
+    private fun nowMs() = origin.elapsedNow().inWholeMilliseconds
+
+    /** The store has given this life its number. */
+    public fun registered(number: Long) {
+        this.number = number
+    }
+
+    /**
+     * Does what is due.
+     *
+     * @param inContact whether backend servers of an owned failure domain answer; null if none is known.
+     */
+    public fun tick(peers: List<PeerView>, inContact: (String) -> Boolean?) {
+        this.peers = peers
+        if (leaving) return
+        yieldToBetterTokens()
+        yieldToBetterOwner()
+        if (owned.isNotEmpty() && nowMs() - renewedAtMs >= settings.renewMs) renew(inContact)
+        claimOrphaned()
+    }
+
+    private fun yieldToBetterTokens() {
+        for (peer in peers) {
+            if (peer.life != PeerLife.ALIVE) continue
+            for ((name, token) in peer.owned) {
+                val mine = domains[name]?.ownedToken ?: continue
+                if (token > mine) lose(name, "peer ${peer.member.instance} has token $token")
+            }
+        }
+    }
+
+    /** After a partition, the owner of fewer failure domains gives them up to the other. */
+    private fun yieldToBetterOwner() {
+        if (owned.isEmpty() || owned.size == failureDomains.size) return
+        val best = peers.filter { it.life == PeerLife.ALIVE && !it.leaving && it.owned.isNotEmpty() }.minWithOrNull(BEST) ?: return
+        val isBetter = best.owned.size > owned.size || best.owned.size == owned.size && best.member.number < number
+        if (isBetter) release("peer ${best.member.instance} owns ${best.owned.size} failure domains")
+    }
+
+    /** Gives all failure domains up so that another instance can own them at once. */
+    public fun release(reason: String) {
+        val released = domains.values.filter { it.ownedToken != null }
+        if (released.isEmpty()) return
+        val records = released.map {
+            VersionedOwner(OwnerRecord(it.name, owner = "", ownerNumber = 0, token = it.ownedToken ?: 0), it.version)
+        }
+        released.forEach { lose(it.name, reason) }
+        store.writeOwners(records) { written(records, it, claims = false) }
+    }
+
+    /** Releases all and claims nothing any more. */
+    public fun leave() {
+        leaving = true
+        release("this instance stops")
+    }
+
+    /** A backend server of [failureDomain] has obeyed a higher token. */
+    public fun fenced(failureDomain: String) {
+        if (domains[failureDomain]?.ownedToken != null) lose(failureDomain, "fenced by a backend server")
+        suspectSinceMs = null
+    }
+
+    private fun lose(name: String, reason: String) {
+        val domain = domains.getValue(name)
+        log.event("owner", "lost", "failureDomain", name, "token", domain.ownedToken, "reason", reason)
+        domain.ownedToken = null
+        listener.disowned(name)
+    }
+
+    private fun renew(inContact: (String) -> Boolean?) {
+        if (storeCallInFlight || nowMs() < nextStoreCallMs) return
+        renewedAtMs = nowMs()
+        val renewed = domains.values.filter { it.ownedToken != null && inContact(it.name) != false }
+        if (renewed.isEmpty()) return
+        write(renewed.map { VersionedOwner(record(it.name, it.ownedToken ?: 0), it.version) }, claims = false)
+    }
+
+    private fun record(name: String, token: Long) = OwnerRecord(name, self.instance, number, token)
+
+    private fun claimOrphaned() {
+        val orphaned = domains.values.filter { isOrphaned(it) && isCandidate() }
+        if (orphaned.isEmpty()) {
+            suspectSinceMs = null
+            return
+        }
+        val since = suspectSinceMs ?: nowMs().also { suspectSinceMs = it }
+        if (storeCallInFlight || nowMs() < nextStoreCallMs) return
+        storeCallInFlight = true
+        store.readOwners { owners ->
+            storeCallInFlight = false
+            if (owners != null) {
+                storeFailures = 0
+                note(owners)
+                claimByStore()
+            } else {
+                storeFailures++
+                claimByQuorum(since)
+            }
+            nextStoreCallMs = nowMs() + settings.retryMs
+        }
+    }
+
+    private fun isOrphaned(domain: Domain): Boolean {
+        if (domain.ownedToken != null) return false
+        return peers.none { it.life == PeerLife.ALIVE && domain.name in it.owned }
+    }
+
+    /** The owner of the most failure domains, then the most senior instance, claims what has no owner. */
+    private fun isCandidate(): Boolean {
+        val size = owned.size
+        return peers.none {
+            it.life == PeerLife.ALIVE && !it.leaving &&
+                (it.owned.size > size || it.owned.size == size && it.member.number < number)
+        }
+    }
+
+    private fun note(owners: Map<String, VersionedOwner>) {
+        for (domain in domains.values) {
+            val found = owners[domain.name] ?: VersionedOwner(null, 0)
+            if (domain.changedAtMs == null || found.version != domain.version) domain.changedAtMs = nowMs()
+            domain.version = found.version
+            domain.record = found.record
+        }
+    }
+
+    private fun claimByStore() {
+        if (leaving || !isCandidate()) return
+        val claimable = domains.values.filter { isOrphaned(it) && isFree(it) }
+        if (claimable.isEmpty()) return
+        write(claimable.map { VersionedOwner(record(it.name, nextToken(it)), it.version) }, claims = true)
+    }
+
+    private fun isFree(domain: Domain): Boolean {
+        val record = domain.record ?: return true
+        if (record.owner.isEmpty()) return true
+        if (record.owner == self.instance && record.ownerNumber < number) return true
+        val owner = peers.firstOrNull { it.member.instance == record.owner }
+        if (owner?.life == PeerLife.DEAD && owner.member.number <= record.ownerNumber) return true
+        if (owner?.life == PeerLife.ALIVE && owner.member.number > record.ownerNumber) return true
+        return nowMs() - (domain.changedAtMs ?: return false) >= settings.staleMs
+    }
+
+    /** Without the store: the owner must be out of sight, and most instances of the failure domain in sight. */
+    private fun claimByQuorum(since: Long) {
+        if (leaving || !isCandidate()) return
+        for (domain in domains.values) {
+            if (!isOrphaned(domain)) continue
+            val there = peers.filter { it.member.failureDomain == domain.name && it.life != PeerLife.DEAD }
+            val selfThere = if (self.failureDomain == domain.name) 1 else 0
+            val inSight = there.count { it.life == PeerLife.ALIVE } + selfThere
+            val isMajority = 2 * inSight > there.size + selfThere
+            val ownerIsDead = peers.any { it.member.instance == domain.record?.owner && it.life == PeerLife.DEAD }
+            if (isMajority && (ownerIsDead || nowMs() - since >= settings.quorumWaitMs)) {
+                log.event("owner", "claimed-without-store", "failureDomain", domain.name, "inSight", inSight, "of", there.size + selfThere)
+                take(domain, nextToken(domain))
+            }
+        }
+    }
+
+    /** Unique among instances by its low digits, and above all that is known. */
+    private fun nextToken(domain: Domain): Long {
+        val known = maxOf(domain.record?.token ?: 0, domain.ownedToken ?: 0, domain.highestToken)
+        return (known / settings.tokenStep + 1) * settings.tokenStep + settings.tokenSuffix
+    }
+
+    private val Domain.highestToken: Long get() = peers.maxOfOrNull { it.owned[name] ?: 0 } ?: 0
+
+    private fun take(domain: Domain, token: Long) {
+        if (domain.ownedToken == token) return
+        domain.ownedToken = token
+        renewedAtMs = nowMs()
+        log.event("owner", "claimed", "failureDomain", domain.name, "token", token, "rowVersion", domain.version)
+        listener.owned(domain.name, token)
+    }
+
+    private fun write(records: List<VersionedOwner>, claims: Boolean) {
+        storeCallInFlight = true
+        store.writeOwners(records) { result ->
+            storeCallInFlight = false
+            written(records, result, claims)
+        }
+    }
+
+    private fun written(records: List<VersionedOwner>, result: OwnerWrite, claims: Boolean) {
+        when (result) {
+            is OwnerWrite.Written -> {
+                for (written in records) {
+                    val record = written.record ?: continue
+                    val domain = domains.getValue(record.failureDomain)
+                    domain.version = result.versions[record.failureDomain] ?: domain.version
+                    domain.record = record
+                    domain.changedAtMs = nowMs()
+                    if (claims && !leaving && isOrphaned(domain)) take(domain, record.token)
+                }
+            }
+
+            is OwnerWrite.Conflict -> {
+                note(domains.keys.associateWith { name ->
+                    result.owners[name] ?: domains.getValue(name).let { VersionedOwner(it.record, it.version) }
+                })
+                domains.values.forEach(::yieldToRecord)
+            }
+
+            OwnerWrite.Unavailable, OwnerWrite.Unknown -> nextStoreCallMs = nowMs() + settings.retryMs
+        }
+    }
+
+    private fun yieldToRecord(domain: Domain) {
+        val mine = domain.ownedToken ?: return
+        val record = domain.record ?: return
+        if (record.owner != self.instance && record.token > mine) lose(domain.name, "record of ${record.owner} with token ${record.token}")
+    }
+
+    private companion object {
+        val BEST = compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number }
+    }
+}
+
+/**
+ * Times of [Ownership], in milliseconds.
+ *
+ * @property renewMs how often an owner renews its records.
+ * @property staleMs a record that did not change for so long belongs to no live owner; more than two renewals.
+ * @property quorumWaitMs without the store, an owner must be silent for so long; longer than any lease.
+ * @property retryMs pause between two readings of the records.
+ * @property tokenStep, tokenSuffix the low digits of a token name the instance, so that two never choose the same.
+ */
+public data class OwnershipSettings(
+    val renewMs: Long = 400,
+    val staleMs: Long = 1_000,
+    val quorumWaitMs: Long = 1_100,
+    val retryMs: Long = 100,
+    val tokenStep: Long = 1L shl 24,
+    val tokenSuffix: Long,
+)
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Resources.kt
@@ -0,0 +1,20 @@
+package medlarroute.dispatch
+
+import kotlinx.serialization.Serializable
+
+/** What a task needs or a backend server has. [cpuMillis] counts thousandths of a core. */
+@Serializable
+public data class Resources(
+    public val cpuMillis: Int = 0,
+    public val memoryMb: Int = 0,
+    public val accelerators: Int = 0,
+) {
+    public fun fitsInto(other: Resources): Boolean =
+        cpuMillis <= other.cpuMillis && memoryMb <= other.memoryMb && accelerators <= other.accelerators
+
+    public operator fun plus(other: Resources): Resources =
+        Resources(cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, accelerators + other.accelerators)
+
+    public operator fun minus(other: Resources): Resources =
+        Resources(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators)
+}
