Settle the runs of an earlier owner before new starts

Refused connections also counted as proof of death, but a partition may refuse them. Now a start waits until every backend server has been seen under the new token, or the longest lease has passed; runs and good ends found there are adopted; an owner that gives up to a better one lets its jobs end first.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -23,7 +23,10 @@
         val forMs = (settings.ejectMs shl row.ejections.coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(settings.maxEjectMs)
         row.ejectedUntilMs = nowMs + forMs
         row.ejections++
-        log.event("backend", "ejected", "backend", row.info.id, "reason", reason, "forMs", forMs, "failuresInRow", row.failuresInRow)
+        log.event(
+            "backend", "ejected", "backend", row.info.id, "reason", reason, "forMs", forMs,
+            "failuresInRow", row.failuresInRow,
+        )
     }
 
     fun isUsable(row: BackendRow, nowMs: Long): Boolean =
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -55,7 +55,8 @@
         if (backends.isEmpty()) return null
         for ((number, step) in job.request.steps.withIndex()) {
             val fits = backends.any {
-                step.demand.fitsInto(it.info.capacity) && (step.requiredLabel == null || step.requiredLabel in it.info.labels)
+                step.demand.fitsInto(it.info.capacity) &&
+                    (step.requiredLabel == null || step.requiredLabel in it.info.labels)
             }
             if (!fits) return "no backend server can hold a task of step $number"
         }
@@ -64,24 +65,29 @@
 
     /** Refuses a job that would start too late, going by the work that is served before it. */
     private fun overload(job: JobRow, nowMs: Long): AdmissionDecision? {
-        var rate = 0.0
-        for (row in tables.backends.values) {
-            if (row.info.service != job.queue.service || row.info.draining || row.isUnreachable) continue
-            if (row.ejectedUntilMs <= nowMs) rate += row.info.capacity.cpuMillis * row.speed * PACKING
-        }
-        var aheadWork = job.queuedWork() / 2
-        for (other in tables.waiting) {
-            val first = other.everOrdered || other.latestStartMs <= job.latestStartMs
-            if (first && other.queue.service == job.queue.service) aheadWork += other.queuedWork()
-        }
+        val rate = workRate(job.queue.service, nowMs)
+        val aheadWork =
+            job.queuedWork() / 2 + tables.waiting.filter { isServedBefore(it, job) }.sumOf { it.queuedWork() }
         val waitMs = if (rate > 0) aheadWork / rate else Double.MAX_VALUE
         val budgetMs = job.latestStartMs - nowMs
-        if (waitMs <= budgetMs || tables.waiting.isEmpty() && rate > 0) return null
-        val retryAfterMs = if (rate > 0) (waitMs - budgetMs).toLong().coerceIn(SHORT_RETRY_MS, MAX_RETRY_MS) else SHORT_RETRY_MS
+        if (waitMs <= budgetMs || (tables.waiting.isEmpty() && rate > 0)) return null
+        val excessMs = if (rate > 0) (waitMs - budgetMs).toLong() else 0
+        val retryAfterMs = excessMs.coerceIn(SHORT_RETRY_MS, MAX_RETRY_MS)
         val reason = "predicted wait ${waitMs.toLong()} ms exceeds $budgetMs ms"
         return refused(job.request, NotRunCode.OVERLOAD, reason, retryAfterMs)
     }
 
+    /** Work that the backend servers of [service] do per millisecond, in thousandths of core-milliseconds. */
+    private fun workRate(service: ServiceId, nowMs: Long): Double =
+        tables.backends.values
+            .filter {
+                it.info.service == service && !it.info.draining && !it.isUnreachable && it.ejectedUntilMs <= nowMs
+            }
+            .sumOf { it.info.capacity.cpuMillis * it.speed * PACKING }
+
+    private fun isServedBefore(other: JobRow, job: JobRow): Boolean =
+        other.queue.service == job.queue.service && (other.everOrdered || other.latestStartMs <= job.latestStartMs)
+
     private fun refused(request: JobRequest, code: NotRunCode, reason: String, retryAfterMs: Long?): AdmissionDecision {
         log.event(
             "dispatch", "job-refused", "job", request.id, "queue", request.queue, "code", code, "reason", reason,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -11,10 +11,12 @@
     private val settings: DispatchSettings,
     private val tables: DispatchTables,
     private val actions: DispatchActions,
+    private val settling: SettlingSystem,
     private val log: EventLog,
 ) {
     private val health = BackendHealthSystem(settings, tables, log)
     private val usable = ArrayList<BackendRow>()
+    private var blockedDemand: Resources? = null
 
     /** Queues the tasks of [job] whose earlier steps are done. */
     fun unblock(job: JobRow) {
@@ -51,19 +53,21 @@
 
     private fun pass(nowMs: Long, late: Boolean) {
         // A task that no backend server has room for blocks larger ones of this pass, too.
-        var smallestBlocked: Resources? = null
+        blockedDemand = null
         for (job in tables.waiting) {
             val isLate = !job.everOrdered && nowMs > job.latestStartMs
-            if (isLate != late || job.queuedTasks == 0 || nowMs < job.notBeforeMs) continue
-            for (stepTasks in job.tasks) {
-                if (stepTasks.isEmpty() || stepTasks[0].state == TaskState.BLOCKED) continue
-                for (task in stepTasks) {
-                    if (task.state != TaskState.QUEUED) continue
-                    val blocked = smallestBlocked
-                    if (blocked != null && blocked.fitsInto(task.step.demand)) continue
-                    val row = choose(task, nowMs)
-                    if (row != null) start(task, row, nowMs) else if (isUnconstrained(task)) smallestBlocked = task.step.demand
-                }
+            if (isLate == late && job.queuedTasks > 0 && settling.mayStart(job, nowMs)) placeTasks(job, nowMs)
+        }
+    }
+
+    private fun placeTasks(job: JobRow, nowMs: Long) {
+        for (task in job.allTasks()) {
+            if (task.state != TaskState.QUEUED || blockedDemand?.fitsInto(task.step.demand) == true) continue
+            val row = choose(task, nowMs)
+            if (row != null) {
+                start(task, row, nowMs)
+            } else if (isUnconstrained(task)) {
+                blockedDemand = task.step.demand
             }
         }
     }
@@ -97,12 +101,16 @@
 
     private fun mayRun(task: TaskRow, row: BackendRow, nowMs: Long): Boolean {
         val step = task.step
-        if (!step.demand.fitsInto(row.free) || row.info.service != task.job.queue.service) return false
-        if (row.isProbation && row.tasks.isNotEmpty() || row.heldUntilMs > nowMs) return false
-        if (step.requiredLabel != null && step.requiredLabel !in row.info.labels) return false
-        val most = step.maxPerBackend
-        if (most != null && row.tasks.values.count { it.job === task.job && it.key.step == task.key.step } >= most) return false
-        return row !in task.failedOn
+        val isServing = row.info.service == task.job.queue.service && row.heldUntilMs <= nowMs &&
+            !(row.isProbation && row.tasks.isNotEmpty())
+        val hasLabel = step.requiredLabel == null || step.requiredLabel in row.info.labels
+        if (!isServing || !hasLabel || !step.demand.fitsInto(row.free)) return false
+        return row !in task.failedOn && isBelowLimit(task, row)
+    }
+
+    private fun isBelowLimit(task: TaskRow, row: BackendRow): Boolean {
+        val most = task.step.maxPerBackend ?: return true
+        return row.tasks.values.count { it.job === task.job && it.key.step == task.key.step } < most
     }
 
     private fun rackFactor(step: StepRequest, info: BackendInfo): Double =
@@ -113,9 +121,11 @@
         val clockMs = row.clockAt(nowMs) ?: return
         val job = task.job
         task.run = maxOf(task.run, job.highestRun) + 1
+        job.newestRun = maxOf(job.newestRun, task.run)
         task.state = TaskState.STARTING
         task.orderedAtMs = nowMs
         task.validUntilMs = clockMs + settings.orderValidityMs
+        task.isAdopted = false
         task.confirmedAtMs = Long.MIN_VALUE
         task.donePercent = -1
         task.progressAtMs = nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -59,7 +59,7 @@
 
             RejectReason.UNAVAILABLE -> health.failed(row, "unavailable", nowMs)
 
-            RejectReason.REFUSED -> return gone(row, "connection refused", nowMs)
+            RejectReason.REFUSED -> unreachable(row, "connection refused", nowMs)
 
             RejectReason.INVALID -> task.failedOn += row
         }
@@ -69,7 +69,6 @@
     private fun requeue(task: TaskRow) {
         task.backend?.vacate(task)
         val job = task.job
-        job.highestRun = maxOf(job.highestRun, 0)
         if (job.ended || task.state == TaskState.DONE) return
         placement.enqueue(task)
     }
@@ -83,19 +82,12 @@
 
             LookResult.Fenced -> actions.fenced(row.info.failureDomain)
 
-            LookResult.Refused -> gone(row, "connection refused", nowMs)
+            // A partition may refuse connections, too, so runs there count as alive until their lease has lapsed.
+            LookResult.Refused -> unreachable(row, "connection refused", nowMs)
 
             LookResult.Replaced -> replaced(row, "another process has the address", nowMs)
 
-            is LookResult.Failed -> {
-                if (!row.isUnreachable) {
-                    row.unreachableSinceMs = nowMs
-                    log.event(
-                        "backend", "unreachable", "backend", row.info.id, "reason", result.reason,
-                        "tasks", row.tasks.size, "seenMsAgo", nowMs - row.seenAtMs,
-                    )
-                }
-            }
+            is LookResult.Failed -> unreachable(row, result.reason, nowMs)
         }
     }
 
@@ -121,7 +113,7 @@
         row.unknownRuns.remove(end.task)
         val task = row.tasks[end.task]
         if (task == null || task.run != end.run) {
-            if (end.outcome == RunOutcome.DONE) row.unknownDone[end.task] = nowMs
+            if (end.outcome == RunOutcome.DONE) doneElsewhere(row, end.task, nowMs)
             return
         }
         row.vacate(task)
@@ -141,9 +133,24 @@
         }
     }
 
+    /** A run that an earlier owner started has ended well. */
+    private fun doneElsewhere(row: BackendRow, key: TaskKey, nowMs: Long) {
+        val task = tables.jobs[key.job]?.task(key)
+        if (task == null) {
+            row.unknownDone[key] = nowMs
+        } else if (task.state == TaskState.QUEUED) {
+            task.job.queuedTasks--
+            completed(task, nowMs)
+        }
+    }
+
     private fun done(row: BackendRow, task: TaskRow, nowMs: Long) {
+        if (!task.isAdopted) health.succeeded(row, task, (nowMs - task.orderedAtMs).toDouble())
+        completed(task, nowMs)
+    }
+
+    private fun completed(task: TaskRow, nowMs: Long) {
         task.state = TaskState.DONE
-        health.succeeded(row, task, (nowMs - task.orderedAtMs).toDouble())
         val job = task.job
         if (--job.openTasks == 0) return ends.end(job, JobResult.Complete, nowMs)
         if (job.request.steps.size > 1) placement.unblock(job)
@@ -176,7 +183,8 @@
     private fun compareRun(row: BackendRow, run: SeenRun, nowMs: Long) {
         val task = row.tasks[run.task]
         if (task == null || task.run != run.run) {
-            row.unknownRuns.getOrPut(run.task) { UnknownRun(run.run, nowMs) }
+            val found = row.unknownRuns.getOrPut(run.task) { UnknownRun(run.run, nowMs) }
+            tables.jobs[run.task.job]?.task(run.task)?.let { adopt(row, found, it, nowMs) }
             return
         }
         if (task.state == TaskState.STARTING || task.state == TaskState.UNCERTAIN) task.state = TaskState.RUNNING
@@ -195,6 +203,38 @@
         }
     }
 
+    /** Takes over the runs of [job] that an earlier owner started, and their good ends. */
+    fun adoptKnownRuns(job: JobRow, nowMs: Long) {
+        for (task in job.allTasks()) {
+            for (row in tables.backends.values) {
+                row.unknownRuns[task.key]?.let { adopt(row, it, task, nowMs) }
+                if (row.unknownDone.remove(task.key) != null && task.state == TaskState.BLOCKED) {
+                    task.state = TaskState.DONE
+                    job.openTasks--
+                }
+            }
+        }
+    }
+
+    private fun adopt(row: BackendRow, found: UnknownRun, task: TaskRow, nowMs: Long) {
+        val isOpen = task.state == TaskState.QUEUED || task.state == TaskState.BLOCKED
+        if (!isOpen || found.stopSentAtMs != NEVER_MS) return
+        row.unknownRuns.remove(task.key)
+        if (task.state == TaskState.QUEUED) task.job.queuedTasks--
+        row.occupy(task)
+        task.state = TaskState.RUNNING
+        task.isAdopted = true
+        task.run = found.run
+        task.job.everOrdered = true
+        task.orderedAtMs = nowMs
+        task.progressAtMs = nowMs
+        task.confirmedAtMs = row.clockAt(nowMs) ?: Long.MIN_VALUE
+        log.event(
+            "dispatch", "run-adopted", "job", task.key.job, "task", task.key, "run", task.run,
+            "backend", row.info.id,
+        )
+    }
+
     /** The backend server neither runs the task nor lists its end. */
     private fun missing(row: BackendRow, task: TaskRow, clockMs: Long) {
         val isLost = when (task.state) {
@@ -213,13 +253,13 @@
         requeue(task)
     }
 
-    /** The process is gone and so are its runs. */
-    private fun gone(row: BackendRow, reason: String, nowMs: Long) {
-        if (!row.isUnreachable) {
-            log.event("backend", "gone", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
-            row.unreachableSinceMs = nowMs
-        }
-        row.tasks.values.toList().forEach(::requeue)
+    private fun unreachable(row: BackendRow, reason: String, nowMs: Long) {
+        if (row.isUnreachable) return
+        row.unreachableSinceMs = nowMs
+        log.event(
+            "backend", "unreachable", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size,
+            "seenMsAgo", nowMs - row.seenAtMs, "leaseEndsInMs", row.leaseEndMs - nowMs,
+        )
     }
 
     /** A new process has the backend server's name: it holds nothing of before. */
@@ -243,10 +283,9 @@
         val freeAtMs = maxOf(row.leaseEndMs, nowMs)
         for (task in row.tasks.values.toList()) {
             row.vacate(task)
-            if (!task.job.ended) {
-                task.state = TaskState.UNCERTAIN
-                orphans += Orphan(task, task.run, freeAtMs)
-            }
+            if (!task.job.ended) task.state = TaskState.UNCERTAIN
+            task.isOrphan = true
+            orphans += Orphan(task, task.run, freeAtMs)
         }
     }
 
@@ -261,17 +300,23 @@
         }
         val due = orphans.filter { it.freeAtMs <= nowMs }
         orphans.removeAll(due)
-        due.filter { it.task.run == it.run && it.task.state == TaskState.UNCERTAIN }.forEach { requeue(it.task) }
+        for (orphan in due) {
+            orphan.task.isOrphan = false
+            if (orphan.task.run == orphan.run && orphan.task.state == TaskState.UNCERTAIN) requeue(orphan.task)
+        }
     }
 
     private fun stopUnknownRuns(row: BackendRow, nowMs: Long) {
         val token = tables.token(row) ?: return
         for ((task, run) in row.unknownRuns) {
-            val isReserved = !run.stopSent && tables.jobs[task.job] == null && nowMs - run.firstSeenMs < settings.unknownRunGraceMs
-            if (isReserved || run.stopSent && nowMs - run.firstSeenMs < STOP_REPEAT_MS) continue
-            run.stopSent = true
+            val isReserved = tables.jobs[task.job] == null && nowMs - run.firstSeenMs < settings.unknownRunGraceMs
+            if (isReserved || nowMs - run.stopSentAtMs < STOP_REPEAT_MS) continue
+            run.stopSentAtMs = nowMs
             actions.stop(StopOrder(row.info, task, run.run, token))
-            log.event("dispatch", "unknown-run-stopped", "job", task.job, "task", task, "run", run.run, "backend", row.info.id)
+            log.event(
+                "dispatch", "unknown-run-stopped", "job", task.job, "task", task, "run", run.run,
+                "backend", row.info.id,
+            )
         }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -20,11 +20,11 @@
  * @property maxOpenJobs jobs that may be open at once; bounds memory.
  */
 public data class DispatchSettings(
-    val leaseMs: Long = 850,
-    val lookWaitMs: Long = 300,
+    val leaseMs: Long = 700,
+    val lookWaitMs: Long = 250,
     val lookTimeoutMs: Long = 150,
     val orderValidityMs: Long = 200,
-    val unknownRunGraceMs: Long = 400,
+    val unknownRunGraceMs: Long = 300,
     val unknownDoneMs: Long = 2_000,
     val hangMs: Long = 450,
     val ejectMs: Long = 1_500,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -24,6 +24,9 @@
     var state = TaskState.BLOCKED
     var backend: BackendRow? = null
     var run = 0
+
+    /** Its run was started by an earlier owner. */
+    var isAdopted = false
     var failures = 0
     var orderedAtMs = 0L
 
@@ -39,6 +42,9 @@
     /** Backend servers where the task has failed. */
     val failedOn = ArrayList<BackendRow>(0)
 
+    /** Its backend server is out of sight, and its run may be alive. */
+    var isOrphan = false
+
     val isStopAsked: Boolean get() = stopAskedAtMs != NEVER_MS
 
     val isOrdered: Boolean
@@ -68,14 +74,28 @@
     /** Latest start that is worth anything to the caller. */
     var lastUsefulStartMs = 0L
 
-    /** No task starts before; until then a run of an earlier attempt may be alive somewhere. */
-    var notBeforeMs = Long.MIN_VALUE
+    /** A previous owner may have started tasks, so none starts before all backend servers are known or have lapsed. */
+    var resumed = false
+    var resumedAtMs = NEVER_MS
+
+    /** Earlier job of the same name, some of whose runs may be alive. */
+    var predecessor: JobRow? = null
+
+    /** Highest run number of earlier attempts; runs here are numbered from the next one. */
     var highestRun = 0
+
+    /** Highest run number that was ordered here. */
+    var newestRun = 0
     var everOrdered = false
     var firstOrderedAtMs = 0L
     var queuedTasks = 0
     var ended = false
 
+    /** Whether a run of this job may be alive. */
+    val hasRuns: Boolean get() = allTasks().any { it.backend != null || it.isOrphan }
+
+    fun task(key: TaskKey): TaskRow? = tasks.getOrNull(key.step)?.getOrNull(key.index)
+
     fun allTasks(): Sequence<TaskRow> = tasks.asSequence().flatten()
 
     /** Work of the queued tasks, in thousandths of core-milliseconds at speed 1. */
@@ -141,7 +161,7 @@
 }
 
 /** A run that was found on a backend server. */
-internal class UnknownRun(val run: Int, val firstSeenMs: Long, var stopSent: Boolean = false)
+internal class UnknownRun(val run: Int, val firstSeenMs: Long, var stopSentAtMs: Long = NEVER_MS)
 
 /** All state of the dispatcher. Owned by one thread. */
 internal class DispatchTables {
@@ -153,6 +173,10 @@
 
     /** Token of each owned failure domain, by its name. */
     val tokens = HashMap<String, Long>()
+    val ownedSinceMs = HashMap<String, Long>()
+
+    /** Ended jobs of which runs may be alive. */
+    val ending = HashMap<JobId, JobRow>()
     val runTimes = HashMap<QueueId, RunTimeEstimate>()
     var configuration: DispatchConfiguration? = null
     var waitingIsDirty = false
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -10,14 +10,16 @@
  */
 public class Dispatcher(
     private val settings: DispatchSettings,
-    private val clock: TimeSource.WithComparableMarks,
+    failureDomains: Set<String>,
+    clock: TimeSource.WithComparableMarks,
     private val actions: DispatchActions,
     private val log: EventLog,
 ) {
     private val origin = clock.markNow()
     private val tables = DispatchTables()
     private val ends = JobEndSystem(tables, actions, log)
-    private val placement = DispatchPlacement(settings, tables, actions, log)
+    private val settling = SettlingSystem(settings, tables, failureDomains)
+    private val placement = DispatchPlacement(settings, tables, actions, settling, log)
     private val admission = DispatchAdmission(settings, tables, log)
     private val backends = BackendHealthSystem(settings, tables, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, backends, placement, log)
@@ -42,11 +44,13 @@
     /** Takes over [failureDomain]; orders there carry [token] from now on. */
     public fun own(failureDomain: String, token: Long) {
         tables.tokens[failureDomain] = token
+        tables.ownedSinceMs[failureDomain] = nowMs()
     }
 
     /** Gives [failureDomain] up. Tasks that run there may go on under another owner, so they are left alone. */
     public fun disown(failureDomain: String) {
         tables.tokens.remove(failureDomain) ?: return
+        tables.ownedSinceMs.remove(failureDomain)
         val lost = tables.backends.values.filter { it.info.failureDomain == failureDomain }
         lost.forEach { forget(it, nowMs()) }
     }
@@ -70,7 +74,11 @@
             row.info = info
             return
         }
-        if (info.draining != row.info.draining) log.event("backend", "draining", "backend", info.id, "draining", info.draining)
+        if (info.draining !=
+            row.info.draining
+        ) {
+            log.event("backend", "draining", "backend", info.id, "draining", info.draining)
+        }
         val capacityChange = info.capacity - row.info.capacity
         row.free += capacityChange
         row.info = if (info.incarnation == 0L) info.copy(incarnation = row.info.incarnation) else info
@@ -98,13 +106,23 @@
     ) {
         val nowMs = nowMs()
         tables.jobs[request.id]?.let { return it.join(origin) }
-        val job = when (val decision = admission.decide(request, nowMs - waitedMs, nowMs + timeoutMs, progress, nowMs)) {
+        val job = when (
+            val decision = admission.decide(
+                request,
+                nowMs - waitedMs,
+                nowMs + timeoutMs,
+                progress,
+                nowMs,
+            )
+        ) {
             is AdmissionDecision.Refused -> return actions.ended(origin, request.id, decision.result)
             is AdmissionDecision.Admitted -> decision.job
         }
         job.origins += origin
         tables.jobs[request.id] = job
+        job.predecessor = tables.ending[request.id]?.also { job.highestRun = maxOf(it.highestRun, it.newestRun) }
         progress?.let { resume(job, it, nowMs) }
+        replies.adoptKnownRuns(job, nowMs)
         placement.unblock(job)
         if (job.openTasks == 0) ends.end(job, JobResult.Complete, nowMs)
         placement.run(nowMs)
@@ -115,42 +133,18 @@
         log.event("dispatch", "job-joined", "job", request.id, "origin", origin.instance)
     }
 
-    /** Adopts what the tables know of an earlier attempt at the job. */
     private fun resume(job: JobRow, progress: JobProgress, nowMs: Long) {
-        job.highestRun = progress.highestRun
+        job.highestRun = maxOf(job.highestRun, progress.highestRun)
         job.everOrdered = true
-        val done = progress.done.toSet()
-        var adopted = 0
-        for (task in job.allTasks()) {
-            if (task.key in done || tables.backends.values.any { it.unknownDone.remove(task.key) != null }) {
-                task.state = TaskState.DONE
-                job.openTasks--
-            } else if (adopt(task, nowMs)) {
-                adopted++
-            }
+        job.resumed = true
+        job.resumedAtMs = nowMs
+        progress.done.mapNotNull(job::task).forEach {
+            it.state = TaskState.DONE
+            job.openTasks--
         }
-        if (adopted + done.size < job.tasks.sumOf { it.size }) job.notBeforeMs = safeStartMs(nowMs)
-        log.event("dispatch", "job-resumed", "job", job.request.id, "done", done.size, "adopted", adopted)
-    }
-
-    private fun adopt(task: TaskRow, nowMs: Long): Boolean {
-        val row = tables.backends.values.firstOrNull { it.unknownRuns[task.key]?.stopSent == false } ?: return false
-        val found = row.unknownRuns.remove(task.key) ?: return false
-        row.occupy(task)
-        task.state = TaskState.RUNNING
-        task.run = found.run
-        task.orderedAtMs = found.firstSeenMs
-        task.progressAtMs = nowMs
-        task.confirmedAtMs = row.clockAt(nowMs) ?: Long.MIN_VALUE
-        return true
+        log.event("dispatch", "job-resumed", "job", job.request.id, "done", progress.done.size)
     }
 
-    /** Runs of a previous owner are known once all backend servers have been seen, or have lapsed after a lease. */
-    private fun safeStartMs(nowMs: Long): Long =
-        if (tables.backends.values.all { it.seenAtMs != NEVER_MS }) nowMs else nowMs + longestLeaseMs()
-
-    private fun longestLeaseMs(): Long = (MAX_LEASE_MS * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
-
     /** The caller has left, or its instance gives the job up. */
     public fun cancel(job: JobId, origin: JobOrigin, reason: String) {
         val row = tables.jobs[job] ?: return
@@ -173,7 +167,9 @@
 
     /** The instance has gone: nobody waits for its jobs. */
     public fun originLost(instance: String) {
-        val gone = tables.jobs.values.flatMap { job -> job.origins.filter { it.instance == instance }.map { job to it } }
+        val gone = tables.jobs.values.flatMap { job ->
+            job.origins.filter { it.instance == instance }.map { job to it }
+        }
         gone.forEach { (job, origin) -> cancel(job.request.id, origin, "instance $instance is lost") }
     }
 
@@ -202,11 +198,12 @@
         val moved = ArrayList<Triple<JobOrigin, JobId, JobProgress>>()
         for (job in tables.jobs.values) {
             val done = job.allTasks().filter { it.state == TaskState.DONE }.map { it.key }.toList()
-            job.origins.forEach { moved += Triple(it, job.request.id, JobProgress(done, job.highestRun)) }
+            job.origins.forEach { moved += Triple(it, job.request.id, JobProgress(done, maxOf(job.highestRun, job.newestRun))) }
             job.ended = true
         }
         tables.jobs.clear()
         tables.waiting.clear()
+        tables.ending.clear()
         tables.backends.clear()
         return moved
     }
@@ -220,12 +217,4 @@
 
     /** Whether some backend server can be ordered now. */
     public val hasBackend: Boolean get() = tables.backends.values.any { it.seenAtMs != NEVER_MS && !it.isUnreachable }
-
-    public companion object {
-        /** Longest lease that a backend server grants, on its own clock; set by the platform. */
-        public const val MAX_LEASE_MS: Long = 1_000
-
-        /** Time that the end of a run may take once its lease has lapsed. */
-        private const val STOP_MARGIN_MS = 80L
-    }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -60,10 +60,17 @@
         val owner = link.ownerOrNull()
         log.event(
             "entry", "job-received", "request", requestId, "job", request.id, "queue", request.queue,
-            "tasks", request.steps.sumOf { it.taskCount }, "timeoutMs", timeoutMs, "owner", owner, "entry", entry.number,
+            "tasks",
+            request.steps.sumOf {
+                it.taskCount
+            },
+            "timeoutMs", timeoutMs, "owner", owner, "entry", entry.number,
         )
         if (owner == null) {
-            finish(entry, JobResult.NotRun(NotRunCode.NO_OWNER, "no instance orders the backend servers", NO_OWNER_RETRY_MS))
+            finish(
+                entry,
+                JobResult.NotRun(NotRunCode.NO_OWNER, "no instance orders the backend servers", NO_OWNER_RETRY_MS),
+            )
         } else {
             send(entry, owner)
         }
@@ -73,7 +80,16 @@
     /** The caller has left. */
     public fun cancel(number: Long) {
         val entry = pending.remove(number) ?: return
-        log.event("entry", "caller-left", "request", entry.requestId, "job", entry.request.id, "afterMs", nowMs() - entry.arrivedAtMs)
+        log.event(
+            "entry",
+            "caller-left",
+            "request",
+            entry.requestId,
+            "job",
+            entry.request.id,
+            "afterMs",
+            nowMs() - entry.arrivedAtMs,
+        )
         entry.owner?.let { link.cancel(it, PeerMessage.Cancel(entry.number, entry.request.id)) }
     }
 
@@ -98,7 +114,10 @@
 
     internal fun moved(number: Long, progress: JobProgress) {
         val entry = pending[number] ?: return
-        log.event("entry", "job-moved", "request", entry.requestId, "job", entry.request.id, "from", entry.owner, "done", progress.done.size)
+        log.event(
+            "entry", "job-moved", "request", entry.requestId, "job", entry.request.id,
+            "from", entry.owner, "done", progress.done.size,
+        )
         entry.progress = progress
         entry.owner = null
         reroute(entry)
@@ -112,8 +131,8 @@
     private fun reroute(entry: Pending) {
         val owner = link.ownerOrNull() ?: return
         log.event(
-            "entry", "job-rerouted", "request", entry.requestId, "job", entry.request.id, "from", entry.owner, "to", owner,
-            "afterMs", nowMs() - entry.arrivedAtMs,
+            "entry", "job-rerouted", "request", entry.requestId, "job", entry.request.id,
+            "from", entry.owner, "to", owner, "afterMs", nowMs() - entry.arrivedAtMs,
         )
         send(entry, owner)
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -36,7 +36,8 @@
 ) {
     private var self = settings.self
     private val network = PeerNetwork({ self }, settings.network, group, clock, Peers(), log)
-    private val dispatcher = Dispatcher(settings.dispatch, clock, Actions(), log)
+    private val dispatcher =
+        Dispatcher(settings.dispatch, settings.failureDomains.toSet(), clock, Actions(), log)
     private val ownership = Ownership(
         settings.self,
         settings.failureDomains,
@@ -109,13 +110,22 @@
         val current = configuration
         if (current != null && next.version <= current.version) return
         configuration = next
-        log.event("configuration", "in-force", "version", next.version, "was", current?.version, "queues", next.queues.size)
+        log.event(
+            "configuration",
+            "in-force",
+            "version",
+            next.version,
+            "was",
+            current?.version,
+            "queues",
+            next.queues.size,
+        )
         dispatcher.configure(next)
         onConfiguration(next)
     }
 
     private fun ownershipTick() {
-        ownership.tick(network.views()) { dispatcher.isInContact(it, CONTACT_MS) }
+        ownership.tick(network.views(), dispatcher.openJobs) { dispatcher.isInContact(it, CONTACT_MS) }
         store.watchBackends(shouldWatchBackends(), ::backendsListed)
         for (peer in network.views()) {
             if (peer.life == PeerLife.ALIVE) {
@@ -131,9 +141,13 @@
     private fun shouldWatchBackends(): Boolean {
         if (dispatcher.ownedDomains.isNotEmpty()) return true
         val alive = network.views().filter { it.life == PeerLife.ALIVE }
-        val needsHelp = alive.any { it.owned.isNotEmpty() && network.beatOf(it.member.instance)?.storeReachable == false }
+        val needsHelp = alive.any {
+            it.owned.isNotEmpty() && network.beatOf(it.member.instance)?.storeReachable == false
+        }
         if (!needsHelp || !store.isReachable) return false
-        return alive.none { it.member.number < self.number && network.beatOf(it.member.instance)?.storeReachable == true }
+        return alive.none {
+            it.member.number < self.number && network.beatOf(it.member.instance)?.storeReachable == true
+        }
     }
 
     private fun backendsListed(listed: List<BackendInfo>) {
@@ -199,7 +213,18 @@
         override fun start(order: StartOrder) = orders.start(order) { dispatcher.startAnswered(order, it) }
 
         override fun stop(order: StopOrder) = orders.stop(order) {
-            if (!it) log.event("dispatch", "stop-unanswered", "job", order.task.job, "task", order.task, "backend", order.backend.id)
+            if (!it) {
+                log.event(
+                    "dispatch",
+                    "stop-unanswered",
+                    "job",
+                    order.task.job,
+                    "task",
+                    order.task,
+                    "backend",
+                    order.backend.id,
+                )
+            }
         }
 
         override fun look(order: LookOrder, number: Long) = orders.look(order) { dispatcher.looked(order, number, it) }
@@ -215,10 +240,12 @@
 
     private inner class Link : OwnerLink {
         override fun ownerOrNull(): String? {
-            if (dispatcher.ownedDomains.isNotEmpty()) return self.instance
-            return network.views().filter { it.life == PeerLife.ALIVE && it.owned.isNotEmpty() }
+            val best = network.views().filter { it.life == PeerLife.ALIVE && it.owned.isNotEmpty() }
                 .minWithOrNull(compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number })
-                ?.member?.instance
+            val own = dispatcher.ownedDomains.size
+            if (best == null) return self.instance.takeIf { own > 0 }
+            val isOwnBetter = own > best.owned.size || (own == best.owned.size && self.number < best.member.number)
+            return if (isOwnBetter) self.instance else best.member.instance
         }
 
         override fun isOwner(instance: String): Boolean =
@@ -259,14 +286,28 @@
         override fun received(peer: PeerMember, message: PeerMessage) {
             when (message) {
                 is PeerMessage.Hello -> Unit
+
                 is PeerMessage.Beat -> heard(peer, message)
+
                 is PeerMessage.Submit -> submitted(peer.instance, message)
+
                 is PeerMessage.Cancel -> cancelled(peer.instance, message)
+
                 is PeerMessage.Ended -> entry.ended(message.number, message.result)
+
                 is PeerMessage.Moved -> entry.moved(message.number, message.progress)
+
                 is PeerMessage.Configuration -> configured(message.configuration)
+
                 is PeerMessage.Backends -> received(message.backends)
-                is PeerMessage.Members -> message.members.forEach { if (it.instance != self.instance) network.learn(it) }
+
+                is PeerMessage.Members -> message.members.forEach {
+                    if (it.instance !=
+                        self.instance
+                    ) {
+                        network.learn(it)
+                    }
+                }
             }
         }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
@@ -20,7 +20,7 @@
     public val isRegistered: Boolean get() = number < UNREGISTERED
 
     public companion object {
-        /** Numbers from here on are provisional: the store couldn't be reached yet. They make the life the most junior. */
+        /** Numbers from here on are provisional until the store can be reached. They make the life the most junior. */
         public const val UNREGISTERED: Long = 1L shl 52
     }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
@@ -14,10 +14,13 @@
         for (task in job.allTasks()) {
             if (task.isOrdered) stop(task, nowMs)
         }
+        if (job.hasRuns) tables.ending[job.request.id] = job
+        val startedAtMs = if (job.everOrdered) job.firstOrderedAtMs else nowMs
         log.event(
             "dispatch", "job-ended", "job", job.request.id, "queue", job.queue.id, "result", result,
-            "tookMs", nowMs - job.arrivedAtMs, "waitedMs", (if (job.everOrdered) job.firstOrderedAtMs else nowMs) - job.arrivedAtMs,
-            "chainMs", job.chainMs.toLong(), "budgetMs", job.latestStartMs - job.arrivedAtMs, "configuration", tables.configuration?.version,
+            "tookMs", nowMs - job.arrivedAtMs, "waitedMs", startedAtMs - job.arrivedAtMs,
+            "chainMs", job.chainMs.toLong(), "budgetMs", job.latestStartMs - job.arrivedAtMs,
+            "configuration", tables.configuration?.version,
         )
         job.origins.forEach { actions.ended(it, job.request.id, result) }
     }
@@ -31,6 +34,7 @@
     }
 
     fun runDeadlines(nowMs: Long) {
+        tables.ending.values.removeIf { !it.hasRuns }
         val due = tables.jobs.values.filter { isHopeless(it, nowMs) }
         for (job in due) {
             val result = if (job.everOrdered) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
@@ -27,7 +27,7 @@
 }
 
 /** Why a job was not run. */
-public enum class NotRunCode { NO_CONFIGURATION, UNKNOWN_QUEUE, UNSUPPORTED, CAN_NEVER_RUN, OVERLOAD, NO_OWNER, TIMEOUT }
+public enum class NotRunCode { NO_CONFIGURATION, UNKNOWN_QUEUE, CAN_NEVER_RUN, OVERLOAD, NO_OWNER }
 
 /**
  * What is known of a job that moves from one owner to another.
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/LookSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/LookSystem.kt
@@ -8,7 +8,11 @@
 ) {
     fun run(nowMs: Long) {
         for (row in tables.backends.values) {
-            if (row.looking && nowMs - row.lookSentAtMs > settings.lookWaitMs + settings.lookTimeoutMs) row.looking = false
+            if (row.looking &&
+                nowMs - row.lookSentAtMs > settings.lookWaitMs + settings.lookTimeoutMs
+            ) {
+                row.looking = false
+            }
             if (!row.looking && nowMs >= nextLookMs(row)) look(row, nowMs)
         }
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -10,7 +10,7 @@
     /** Not heard of. It may be frozen, cut off or dead. */
     SILENT,
 
-    /** Its machine refused a connection, so the process is gone. */
+    /** Its machine refused a connection: the process is gone, or a partition refuses connections. */
     DEAD,
 }
 
@@ -66,6 +66,7 @@
     private var nextStoreCallMs = 0L
     private var renewedAtMs = 0L
     private var suspectSinceMs: Long? = null
+    private var yieldingSinceMs: Long? = null
     private var leaving = false
     private var storeFailures = 0
 
@@ -83,13 +84,14 @@
     /**
      * Does what is due.
      *
+     * @param openJobs jobs that run under this instance's ownership.
      * @param inContact whether backend servers of an owned failure domain answer; null if none is known.
      */
-    public fun tick(peers: List<PeerView>, inContact: (String) -> Boolean?) {
+    public fun tick(peers: List<PeerView>, openJobs: Int = 0, inContact: (String) -> Boolean?) {
         this.peers = peers
         if (leaving) return
         yieldToBetterTokens()
-        yieldToBetterOwner()
+        yieldToBetterOwner(openJobs)
         if (owned.isNotEmpty() && nowMs() - renewedAtMs >= settings.renewMs) renew(inContact)
         claimOrphaned()
     }
@@ -105,11 +107,25 @@
     }
 
     /** After a partition, the owner of fewer failure domains gives them up to the other. */
-    private fun yieldToBetterOwner() {
-        if (owned.isEmpty() || owned.size == failureDomains.size) return
-        val best = peers.filter { it.life == PeerLife.ALIVE && !it.leaving && it.owned.isNotEmpty() }.minWithOrNull(BEST) ?: return
-        val isBetter = best.owned.size > owned.size || best.owned.size == owned.size && best.member.number < number
-        if (isBetter) release("peer ${best.member.instance} owns ${best.owned.size} failure domains")
+    private fun yieldToBetterOwner(openJobs: Int) {
+        val better = betterOwnerOrNull()
+        if (better == null) {
+            yieldingSinceMs = null
+            return
+        }
+        val since = yieldingSinceMs ?: nowMs().also { yieldingSinceMs = it }
+        if (openJobs == 0 || nowMs() - since >= settings.yieldMs) {
+            yieldingSinceMs = null
+            release("peer ${better.member.instance} owns ${better.owned.size} failure domains")
+        }
+    }
+
+    private fun betterOwnerOrNull(): PeerView? {
+        if (owned.isEmpty() || owned.size == failureDomains.size) return null
+        val best = peers.filter { it.life == PeerLife.ALIVE && !it.leaving && it.owned.isNotEmpty() }.minWithOrNull(BEST)
+        return best?.takeIf {
+            it.owned.size > owned.size || (it.owned.size == owned.size && it.member.number < number)
+        }
     }
 
     /** Gives all failure domains up so that another instance can own them at once. */
@@ -185,7 +201,7 @@
         val size = owned.size
         return peers.none {
             it.life == PeerLife.ALIVE && !it.leaving &&
-                (it.owned.size > size || it.owned.size == size && it.member.number < number)
+                (it.owned.size > size || (it.owned.size == size && it.member.number < number))
         }
     }
 
@@ -210,9 +226,9 @@
         if (record.owner.isEmpty()) return true
         if (record.owner == self.instance && record.ownerNumber < number) return true
         val owner = peers.firstOrNull { it.member.instance == record.owner }
-        if (owner?.life == PeerLife.DEAD && owner.member.number <= record.ownerNumber) return true
         if (owner?.life == PeerLife.ALIVE && owner.member.number > record.ownerNumber) return true
-        return nowMs() - (domain.changedAtMs ?: return false) >= settings.staleMs
+        val staleMs = if (owner?.life == PeerLife.DEAD) settings.staleIfRefusedMs else settings.staleMs
+        return nowMs() - (domain.changedAtMs ?: return false) >= staleMs
     }
 
     /** Without the store: the owner must be out of sight, and most instances of the failure domain in sight. */
@@ -226,7 +242,16 @@
             val isMajority = 2 * inSight > there.size + selfThere
             val ownerIsDead = peers.any { it.member.instance == domain.record?.owner && it.life == PeerLife.DEAD }
             if (isMajority && (ownerIsDead || nowMs() - since >= settings.quorumWaitMs)) {
-                log.event("owner", "claimed-without-store", "failureDomain", domain.name, "inSight", inSight, "of", there.size + selfThere)
+                log.event(
+                    "owner",
+                    "claimed-without-store",
+                    "failureDomain",
+                    domain.name,
+                    "inSight",
+                    inSight,
+                    "of",
+                    there.size + selfThere,
+                )
                 take(domain, nextToken(domain))
             }
         }
@@ -270,9 +295,11 @@
             }
 
             is OwnerWrite.Conflict -> {
-                note(domains.keys.associateWith { name ->
-                    result.owners[name] ?: domains.getValue(name).let { VersionedOwner(it.record, it.version) }
-                })
+                note(
+                    domains.keys.associateWith { name ->
+                        result.owners[name] ?: domains.getValue(name).let { VersionedOwner(it.record, it.version) }
+                    },
+                )
                 domains.values.forEach(::yieldToRecord)
             }
 
@@ -283,7 +310,11 @@
     private fun yieldToRecord(domain: Domain) {
         val mine = domain.ownedToken ?: return
         val record = domain.record ?: return
-        if (record.owner != self.instance && record.token > mine) lose(domain.name, "record of ${record.owner} with token ${record.token}")
+        if (record.owner != self.instance &&
+            record.token > mine
+        ) {
+            lose(domain.name, "record of ${record.owner} with token ${record.token}")
+        }
     }
 
     private companion object {
@@ -296,6 +327,8 @@
  *
  * @property renewMs how often an owner renews its records.
  * @property staleMs a record that did not change for so long belongs to no live owner; more than two renewals.
+ * @property staleIfRefusedMs the same for an owner whose machine refuses connections; one renewal and a slow call.
+ * @property yieldMs an owner that gives up to a better one lets its jobs end for so long.
  * @property quorumWaitMs without the store, an owner must be silent for so long; longer than any lease.
  * @property retryMs pause between two readings of the records.
  * @property tokenStep, tokenSuffix the low digits of a token name the instance, so that two never choose the same.
@@ -303,8 +336,13 @@
 public data class OwnershipSettings(
     val renewMs: Long = 400,
     val staleMs: Long = 1_000,
+    val staleIfRefusedMs: Long = 600,
+    val yieldMs: Long = 2_000,
     val quorumWaitMs: Long = 1_100,
     val retryMs: Long = 100,
-    val tokenStep: Long = 1L shl 24,
+    val tokenStep: Long = TOKEN_STEP,
     val tokenSuffix: Long,
 )
+
+/** Leaves 24 bits for the instance, and 29 bits below the largest integer of a JSON number for the claims. */
+private const val TOKEN_STEP = 1L shl 24
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -121,7 +121,9 @@
 
     public fun broadcast(message: PeerMessage) {
         val encoded = encode(message)
-        peers.values.mapNotNull { it.channel }.forEach { it.writeAndFlush(encoded.retainedDuplicate(), it.voidPromise()) }
+        peers.values.mapNotNull {
+            it.channel
+        }.forEach { it.writeAndFlush(encoded.retainedDuplicate(), it.voidPromise()) }
         encoded.release()
     }
 
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/SettlingSystem.kt
@@ -0,0 +1,44 @@
+package medlarroute.dispatch
+
+/**
+ * Tells when no run that an earlier owner started can be alive without being known.
+ *
+ * A run is alive at most a lease after the last look of its owner. After that, or once every backend server has been
+ * seen under this owner's token, what runs is known.
+ */
+internal class SettlingSystem(
+    private val settings: DispatchSettings,
+    private val tables: DispatchTables,
+    private val failureDomains: Set<String>,
+) {
+    private var settledDomains = HashMap<String, Long>()
+
+    /** Whether a task of [job] may start. */
+    fun mayStart(job: JobRow, nowMs: Long): Boolean {
+        if (job.predecessor?.hasRuns == true) return false
+        job.predecessor = null
+        if (tables.tokens.keys.any { !isSettled(it, nowMs) }) return false
+        val knowsAll = tables.tokens.keys.containsAll(failureDomains)
+        return !job.resumed || knowsAll || nowMs - job.resumedAtMs >= longestRunMs()
+    }
+
+    private fun isSettled(failureDomain: String, nowMs: Long): Boolean {
+        val sinceMs = tables.ownedSinceMs.getValue(failureDomain)
+        if (settledDomains[failureDomain] == sinceMs) return true
+        val rows = tables.backends.values.filter { it.info.failureDomain == failureDomain }
+        val allSeen = rows.isNotEmpty() && rows.all { it.seenAtMs != NEVER_MS }
+        val isSettled = allSeen || nowMs - sinceMs >= longestRunMs()
+        if (isSettled) settledDomains[failureDomain] = sinceMs
+        return isSettled
+    }
+
+    private fun longestRunMs(): Long = (MAX_LEASE_MS * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
+
+    private companion object {
+        /** Longest lease that a backend server grants, on its own clock; set by the platform. */
+        const val MAX_LEASE_MS = 1_000L
+
+        /** Time that the end of a run may take once its lease has lapsed. */
+        const val STOP_MARGIN_MS = 80L
+    }
+}
