Admit by a corrected wait, leave slow backend servers to jobs they serve in time, end dead leases

Looks to a backend server out of reach renewed the lease on paper, so that tasks of a crashed one never started elsewhere (found by a test, which failed first). Such looks now only read.

Admission: the predicted wait is corrected by measured waits, a job that finds room now is admitted, and only 0.4 of a job's waiting time may be used up by the wait. Placement: a backend server that makes a job late is left to others while the job can still end in time elsewhere.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -11,6 +11,7 @@
 internal class DispatchAdmission(
     private val settings: DispatchSettings,
     private val tables: DispatchTables,
+    private val health: BackendHealthSystem,
     private val log: EventLog,
 ) {
     fun decide(
@@ -66,17 +67,33 @@
     /** Refuses a job that would start too late, going by the work that is served before it. */
     private fun overload(job: JobRow, nowMs: Long): AdmissionDecision? {
         val rate = workRate(job.queue.service, nowMs)
-        val aheadWork =
-            job.queuedWork() / 2 + tables.waiting.filter { isServedBefore(it, job) }.sumOf { it.queuedWork() }
-        val waitMs = if (rate > 0) aheadWork / rate else Double.MAX_VALUE
+        if (rate > 0 && hasRoomFor(job, nowMs)) return null
+        val aheadWork = job.queuedWork() + tables.waiting.filter { isServedBefore(it, job) }.sumOf { it.queuedWork() }
+        if (rate > 0) job.predictedWaitMs = aheadWork / rate
+        val waitMs = if (rate > 0) tables.waitEstimate.correctedMs(aheadWork / rate) else Double.MAX_VALUE
         val budgetMs = job.latestStartMs - nowMs
-        if (waitMs <= budgetMs || (tables.waiting.isEmpty() && rate > 0)) return null
+        if (waitMs <= budgetMs * WAIT_SHARE) return null
         val excessMs = if (rate > 0) (waitMs - budgetMs).toLong() else 0
         val retryAfterMs = excessMs.coerceIn(SHORT_RETRY_MS, MAX_RETRY_MS)
-        val reason = "predicted wait ${waitMs.toLong()} ms exceeds $budgetMs ms"
+        val reason = "predicted wait ${waitMs.toLong()} ms exceeds $WAIT_SHARE of $budgetMs ms"
         return refused(job.request, NotRunCode.OVERLOAD, reason, retryAfterMs)
     }
 
+    /** Whether all tasks of [job] find room now. Jobs that wait in spite of free room can't use it. */
+    private fun hasRoomFor(job: JobRow, nowMs: Long): Boolean {
+        val step = job.request.steps.singleOrNull() ?: return false
+        var places = 0
+        for (row in tables.backends.values) {
+            if (row.info.service == job.queue.service &&
+                health.isUsable(row, nowMs)
+            ) {
+                places += row.free.timesHolding(step.demand)
+            }
+            if (places >= step.taskCount) return true
+        }
+        return false
+    }
+
     /** Work that the backend servers of [service] do per millisecond, in thousandths of core-milliseconds. */
     private fun workRate(service: ServiceId, nowMs: Long): Double =
         tables.backends.values
@@ -103,6 +120,12 @@
         /** Part of a backend server's cores that tasks of the usual sizes fill. */
         const val PACKING = 0.85
 
+        /**
+         * Part of the time that a job can wait that may be taken by the predicted wait. The rest is for stragglers and
+         * wrong estimates: jobs that are admitted and end late take the room of those that could end in time.
+         */
+        const val WAIT_SHARE = 0.4
+
         /** A crest lasts for seconds, so an earlier repeat meets the same queue. */
         const val SHORT_RETRY_MS = 1_000L
         const val MAX_RETRY_MS = 10_000L
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -85,6 +85,8 @@
         for (row in usable) {
             if (!mayRun(task, row, nowMs)) continue
             val runMs = estimateMs / row.speed * rackFactor(task.step, row.info)
+            // While the job can still end in time elsewhere, a backend server that makes it late is left to others.
+            if (runMs > allowedMs && estimateMs <= allowedMs) continue
             val fits = runMs * ESTIMATE_MARGIN <= allowedMs
             val tighter = runMs == slowestMs && slowest != null && row.free.cpuMillis < slowest.free.cpuMillis
             if (fits && (runMs > slowestMs || tighter)) {
@@ -137,12 +139,16 @@
             job.firstOrderedAtMs = nowMs
             tables.waitingIsDirty = true
         }
+        if (job.queuedTasks == 0 && job.predictedWaitMs > 0) {
+            tables.waitEstimate.record(job.predictedWaitMs, nowMs - job.arrivedAtMs)
+            job.predictedWaitMs = 0.0
+        }
         actions.start(StartOrder(row.info, task.key, task.run, job.request.payload, token, task.validUntilMs))
     }
 
     private companion object {
-        /** Run times vary by about 0.4 around the estimate. */
-        const val ESTIMATE_MARGIN = 1.3
+        /** Run times vary by about 0.4 around the estimate, so that one in ten exceeds it by this factor. */
+        const val ESTIMATE_MARGIN = 1.5
 
         /** Tasks away from their data take this many times as long; the platform's usual figure. */
         const val FAR_RACK_FACTOR = 2.0
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -87,6 +87,9 @@
     /** Highest run number that was ordered here. */
     var newestRun = 0
     var everOrdered = false
+
+    /** Predicted wait before correction; 0 once it has been compared with the real one. */
+    var predictedWaitMs = 0.0
     var firstOrderedAtMs = 0L
     var queuedTasks = 0
     var ended = false
@@ -177,6 +180,7 @@
 
     /** Ended jobs of which runs may be alive. */
     val ending = HashMap<JobId, JobRow>()
+    val waitEstimate = WaitEstimate()
     val runTimes = HashMap<QueueId, RunTimeEstimate>()
     var configuration: DispatchConfiguration? = null
     var waitingIsDirty = false
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -20,8 +20,8 @@
     private val ends = JobEndSystem(tables, actions, log)
     private val settling = SettlingSystem(settings, tables, failureDomains)
     private val placement = DispatchPlacement(settings, tables, actions, settling, log)
-    private val admission = DispatchAdmission(settings, tables, log)
     private val backends = BackendHealthSystem(settings, tables, log)
+    private val admission = DispatchAdmission(settings, tables, backends, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, backends, placement, log)
     private val looks = LookSystem(settings, tables, actions)
 
@@ -198,7 +198,10 @@
         val moved = ArrayList<Triple<JobOrigin, JobId, JobProgress>>()
         for (job in tables.jobs.values) {
             val done = job.allTasks().filter { it.state == TaskState.DONE }.map { it.key }.toList()
-            job.origins.forEach { moved += Triple(it, job.request.id, JobProgress(done, maxOf(job.highestRun, job.newestRun))) }
+            job.origins.forEach {
+                moved +=
+                    Triple(it, job.request.id, JobProgress(done, maxOf(job.highestRun, job.newestRun)))
+            }
             job.ended = true
         }
         tables.jobs.clear()
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -203,7 +203,7 @@
 
     private fun tellMoved(origin: JobOrigin, job: JobId, progress: JobProgress) {
         if (origin.instance == self.instance) {
-            group.next().execute { entry.moved(origin.request, progress) }
+            entry.moved(origin.request, progress)
         } else {
             network.send(origin.instance, PeerMessage.Moved(origin.request, job, progress))
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/LookSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/LookSystem.kt
@@ -26,10 +26,12 @@
         row.lookNumber++
         row.lookSentAtMs = nowMs
         val clockMs = row.clockAt(nowMs)
-        // The first look only reads the clock and the lists.
-        val leaseUntilMs = clockMs?.plus(settings.leaseMs)
+        // The first look only reads the clock and the lists. One to a backend server out of reach may arrive without
+        // an answer and must not lengthen the lease of runs that are about to be given up.
+        val isReading = clockMs == null || row.isUnreachable
+        val leaseUntilMs = if (isReading) null else clockMs?.plus(settings.leaseMs)
         if (leaseUntilMs != null) row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs))
-        val waitMs = if (row.seenAtMs == NEVER_MS) 0 else settings.lookWaitMs
+        val waitMs = if (isReading) 0 else settings.lookWaitMs
         actions.look(LookOrder(row.info, token, leaseUntilMs, row.acknowledgedEnd, waitMs), row.lookNumber)
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -122,7 +122,9 @@
 
     private fun betterOwnerOrNull(): PeerView? {
         if (owned.isEmpty() || owned.size == failureDomains.size) return null
-        val best = peers.filter { it.life == PeerLife.ALIVE && !it.leaving && it.owned.isNotEmpty() }.minWithOrNull(BEST)
+        val best = peers.filter {
+            it.life == PeerLife.ALIVE && !it.leaving && it.owned.isNotEmpty()
+        }.minWithOrNull(BEST)
         return best?.takeIf {
             it.owned.size > owned.size || (it.owned.size == owned.size && it.member.number < number)
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Resources.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Resources.kt
@@ -12,6 +12,15 @@
     public fun fitsInto(other: Resources): Boolean =
         cpuMillis <= other.cpuMillis && memoryMb <= other.memoryMb && accelerators <= other.accelerators
 
+    /** How many times [demand] fits into this. */
+    public fun timesHolding(demand: Resources): Int = minOf(
+        times(cpuMillis, demand.cpuMillis),
+        times(memoryMb, demand.memoryMb),
+        times(accelerators, demand.accelerators),
+    )
+
+    private fun times(has: Int, needed: Int) = if (needed <= 0) Int.MAX_VALUE else (has / needed).coerceAtLeast(0)
+
     public operator fun plus(other: Resources): Resources =
         Resources(cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, accelerators + other.accelerators)
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/SettlingSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/SettlingSystem.kt
@@ -18,10 +18,13 @@
         if (job.predecessor?.hasRuns == true) return false
         job.predecessor = null
         if (tables.tokens.keys.any { !isSettled(it, nowMs) }) return false
-        val knowsAll = tables.tokens.keys.containsAll(failureDomains)
-        return !job.resumed || knowsAll || nowMs - job.resumedAtMs >= longestRunMs()
+        return !job.resumed || seesAll() || nowMs - job.resumedAtMs >= longestRunMs()
     }
 
+    /** Whether every run on any backend server would be known. One out of reach may run what another owner started. */
+    private fun seesAll(): Boolean = tables.tokens.keys.containsAll(failureDomains) &&
+        tables.backends.values.all { it.seenAtMs != NEVER_MS && !it.isUnreachable }
+
     private fun isSettled(failureDomain: String, nowMs: Long): Boolean {
         val sinceMs = tables.ownedSinceMs.getValue(failureDomain)
         if (settledDomains[failureDomain] == sinceMs) return true
--- /dev/null
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -0,0 +1,228 @@
+package medlarroute.dispatch
+
+import java.util.PriorityQueue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+/** Backend servers with leases, fencing, ends and room, under a virtual clock, and a dispatcher that orders them. */
+internal class SimulatedBackends(
+    private val clock: TestTimeSource = TestTimeSource(),
+    private val failureDomains: Set<String> = setOf("d1"),
+    settings: DispatchSettings = DispatchSettings(),
+) : DispatchActions {
+    /** Events of the log, as text. */
+    val events = ArrayList<String>()
+    val results = LinkedHashMap<JobId, JobResult>()
+    val resultAtMs = HashMap<JobId, Long>()
+
+    /** Tasks that ran twice at the same time. */
+    val doubleRuns = ArrayList<TaskKey>()
+    val fenced = ArrayList<String>()
+    val backends = LinkedHashMap<String, Backend>()
+
+    /** Work of a task at speed 1. */
+    var workMs: (TaskKey) -> Long = { 50L }
+
+    /** How the end of a run is listed. */
+    var outcome: (TaskKey, Backend) -> RunOutcome = { _, _ -> RunOutcome.DONE }
+
+    /** Orders that get no response and are carried out that much later. */
+    var lateByMs: (StartOrder) -> Long? = { null }
+    var starts = 0
+
+    private class Event(val atMs: Long, val number: Long, val action: () -> Unit)
+
+    private val queue = PriorityQueue<Event>(compareBy<Event> { it.atMs }.thenBy { it.number })
+    private var events0 = 0L
+    var nowMs = 0L
+        private set
+
+    val dispatcher = Dispatcher(settings, failureDomains, clock, this) { part, event, fields ->
+        events += "$part $event ${fields.joinToString(" ")}"
+    }
+
+    class Run(val run: Int, val startedAtMs: Long, val workMs: Long, val demand: Resources)
+
+    inner class Backend(val info: BackendInfo, val speed: Double) {
+        val running = LinkedHashMap<TaskKey, Run>()
+        val ended = ArrayList<SeenEnd>()
+        var token = 0L
+        var leaseUntilMs = 0L
+        var nextEnd = 1L
+
+        /** It answers nothing, but goes on. */
+        var cutOff = false
+        var hung = false
+        private var waiting: (() -> Unit)? = null
+        private val highestRuns = HashMap<TaskKey, Int>()
+
+        fun look(order: LookOrder, respond: (LookResult) -> Unit) {
+            if (order.token < token) return respond(LookResult.Fenced)
+            token = order.token
+            order.leaseUntilMs?.let { leaseUntilMs = maxOf(leaseUntilMs, minOf(it, nowMs + MAX_LEASE_MS)) }
+            ended.removeIf { it.number <= order.acknowledgedEnd }
+            var responded = false
+            val answer = {
+                if (!responded) {
+                    responded = true
+                    respond(LookResult.Seen(nowMs, info.incarnation, running.map(::seenRun), ended.toList()))
+                }
+            }
+            if (ended.isNotEmpty() || order.waitMs == 0L) return answer()
+            waiting = answer
+            after(order.waitMs) { answer() }
+        }
+
+        private fun seenRun(entry: Map.Entry<TaskKey, Run>): SeenRun {
+            val elapsedMs = if (hung) 0 else nowMs - entry.value.startedAtMs
+            val percent = (PERCENT * elapsedMs * speed / entry.value.workMs).toInt().coerceAtMost(PERCENT - 1)
+            return SeenRun(entry.key, entry.value.run, percent)
+        }
+
+        fun start(order: StartOrder, demand: Resources): StartResult {
+            if (running[order.task]?.run == order.run) return StartResult.Started(nowMs)
+            val used = running.values.fold(Resources()) { sum, run -> sum + run.demand }
+            val reason = when {
+                order.token < token -> RejectReason.FENCED
+                order.validUntilMs < nowMs -> RejectReason.EXPIRED
+                order.run <= (highestRuns[order.task] ?: 0) -> RejectReason.OLD_RUN
+                !(used + demand).fitsInto(info.capacity) -> RejectReason.NO_ROOM
+                else -> null
+            }
+            token = maxOf(token, order.token)
+            if (reason != null) return StartResult.Rejected(reason, nowMs)
+            if (backends.values.any { order.task in it.running }) doubleRuns += order.task
+            starts++
+            leaseUntilMs = maxOf(leaseUntilMs, order.validUntilMs)
+            highestRuns[order.task] = order.run
+            val run = Run(order.run, nowMs, workMs(order.task), demand)
+            running[order.task] = run
+            if (!hung) after((run.workMs / speed).toLong()) { end(order.task, run, outcome(order.task, this)) }
+            return StartResult.Started(nowMs)
+        }
+
+        fun end(task: TaskKey, run: Run, how: RunOutcome) {
+            if (running[task] !== run) return
+            running.remove(task)
+            ended += SeenEnd(nextEnd++, task, run.run, how)
+            waiting?.invoke()
+            waiting = null
+        }
+
+        fun lapse() {
+            if (nowMs <= leaseUntilMs) return
+            running.entries.toList().forEach { (task, run) -> end(task, run, RunOutcome.LEASE_EXPIRED) }
+        }
+    }
+
+    fun add(id: String, speed: Double = 1.0, domain: String = "d1", cores: Int = 16): Backend {
+        val capacity = Resources(cores * MILLIS, 64_000, 0)
+        val info = BackendInfo(id, id, 1, domain, ServiceId("s"), capacity, emptyList(), 1, draining = false)
+        return Backend(info, speed).also { backends[id] = it }
+    }
+
+    fun listAll() = dispatcher.listBackends(backends.values.map { it.info })
+
+    /** Owns all failure domains with [token] and lists all backend servers. */
+    fun takeOver(token: Long = 1) {
+        failureDomains.forEach { dispatcher.own(it, token) }
+        listAll()
+    }
+
+    fun after(delayMs: Long, action: () -> Unit) {
+        queue += Event(nowMs + delayMs, events0++, action)
+    }
+
+    /** Runs the world until [untilMs]. */
+    fun run(untilMs: Long) {
+        while (nowMs < untilMs) {
+            nowMs++
+            clock += 1.milliseconds
+            while (queue.isNotEmpty() && queue.peek().atMs <= nowMs) queue.remove().action()
+            backends.values.forEach { it.lapse() }
+            if (nowMs % TICK_MS == 0L) dispatcher.tick()
+        }
+    }
+
+    fun submit(request: JobRequest, timeoutMs: Long = 3_000, progress: JobProgress? = null) =
+        dispatcher.submit(request, JobOrigin("i1", request.id.value.hashCode().toLong()), timeoutMs, 0, progress)
+
+    override fun start(order: StartOrder) {
+        val demand = demands.getValue(order.task.job)[order.task.step]
+        val lateMs = lateByMs(order)
+        if (lateMs != null) {
+            after(lateMs) { backends.getValue(order.backend.id).start(order, demand) }
+            after(TIMEOUT_MS) { dispatcher.startAnswered(order, StartResult.Unknown("timeout")) }
+            return
+        }
+        after(1) {
+            val backend = backends[order.backend.id]
+            if (backend == null || backend.cutOff) {
+                after(TIMEOUT_MS) { dispatcher.startAnswered(order, StartResult.Unknown("timeout")) }
+            } else {
+                val result = backend.start(order, demand)
+                after(1) { dispatcher.startAnswered(order, result) }
+            }
+        }
+    }
+
+    override fun stop(order: StopOrder) = after(1) {
+        val backend = backends[order.backend.id]
+        val run = backend?.running?.get(order.task)
+        if (backend != null && !backend.cutOff &&
+            run?.run == order.run
+        ) {
+            after(20) { backend.end(order.task, run, RunOutcome.STOPPED) }
+        }
+    }
+
+    override fun look(order: LookOrder, number: Long) = after(1) {
+        val backend = backends[order.backend.id]
+        if (backend == null || backend.cutOff) {
+            after(TIMEOUT_MS) { dispatcher.looked(order, number, LookResult.Failed("timeout")) }
+        } else {
+            backend.look(order) { result ->
+                if (!backend.cutOff) after(1) { dispatcher.looked(order, number, result) }
+            }
+        }
+    }
+
+    override fun ended(origin: JobOrigin, job: JobId, result: JobResult) {
+        results[job] = result
+        resultAtMs[job] = nowMs
+    }
+
+    override fun fenced(failureDomain: String) {
+        fenced += failureDomain
+    }
+
+    private val demands = HashMap<JobId, List<Resources>>()
+
+    /** A job of one step. Its caller's estimate is right. */
+    fun job(id: String, tasks: Int, cpuMillis: Int = 6_800, queue: String = "q", estimateMs: Long = 50): JobRequest {
+        val step = StepRequest(tasks, Resources(cpuMillis, 64, 0), estimateMs)
+        return job(id, listOf(step), queue)
+    }
+
+    fun job(id: String, steps: List<StepRequest>, queue: String = "q"): JobRequest {
+        demands[JobId(id)] = steps.map { it.demand }
+        return JobRequest(JobId(id), QueueId(queue), "payload", steps)
+    }
+
+    fun configure(vararg queues: QueueSettings) {
+        val limits = RequestLimits(16_384, 262_144, 15_000)
+        val service = ServiceSettings(ServiceId("s"), rejectsOverload = true)
+        dispatcher.configure(DispatchConfiguration(1, queues.toList(), listOf(service), limits))
+    }
+
+    companion object {
+        const val MILLIS = 1_000
+        const val PERCENT = 100
+        const val TICK_MS = 20L
+        const val TIMEOUT_MS = 120L
+        const val MAX_LEASE_MS = 1_000L
+
+        fun queue(id: String = "q", priority: Int = 0, objectiveMs: Long = 60, maxAttempts: Int = 3) =
+            QueueSettings(QueueId(id), "h", "/$id/", ServiceId("s"), priority, maxAttempts, 1.6, objectiveMs)
+    }
+}
