--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -67,8 +67,9 @@
     /** Refuses a job that would start too late, going by the work that is served before it. */
     private fun overload(job: JobRow, nowMs: Long): AdmissionDecision? {
         val rate = workRate(job.queue.service, nowMs)
-        if (rate > 0 && hasRoomFor(job, nowMs)) return null
-        val aheadWork = job.queuedWork() + tables.waiting.filter { isServedBefore(it, job) }.sumOf { it.queuedWork() }
+        val placesLacking = if (rate > 0) placesLacking(job, nowMs) else 1.0
+        if (placesLacking == 0.0) return null
+        val aheadWork = job.queuedWork() * placesLacking + tables.waiting.filter { isServedBefore(it, job) }.sumOf { it.queuedWork() }
         if (rate > 0) job.predictedWaitMs = aheadWork / rate
         val waitMs = if (rate > 0) tables.waitEstimate.correctedMs(aheadWork / rate) else Double.MAX_VALUE
         val budgetMs = job.latestStartMs - nowMs
@@ -79,19 +80,16 @@
         return refused(job.request, NotRunCode.OVERLOAD, reason, retryAfterMs)
     }
 
-    /** Whether all tasks of [job] find room now. Jobs that wait in spite of free room can't use it. */
-    private fun hasRoomFor(job: JobRow, nowMs: Long): Boolean {
-        val step = job.request.steps.singleOrNull() ?: return false
+    /** Part of the tasks of [job] that finds no room now. Jobs that wait in spite of free room can't use it. */
+    private fun placesLacking(job: JobRow, nowMs: Long): Double {
+        val step = job.request.steps.singleOrNull() ?: return 1.0
         var places = 0
         for (row in tables.backends.values) {
-            if (row.info.service == job.queue.service &&
-                health.isUsable(row, nowMs)
-            ) {
-                places += row.free.timesHolding(step.demand)
-            }
-            if (places >= step.taskCount) return true
+            if (row.info.service != job.queue.service || !health.isUsable(row, nowMs)) continue
+            places += row.free.timesHolding(step.demand).coerceAtMost(step.taskCount)
+            if (places >= step.taskCount) return 0.0
         }
-        return false
+        return 1 - places.toDouble() / step.taskCount
     }
 
     /** Work that the backend servers of [service] do per millisecond, in thousandths of core-milliseconds. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -242,7 +242,7 @@
             val selfThere = if (self.failureDomain == domain.name) 1 else 0
             val inSight = there.count { it.life == PeerLife.ALIVE } + selfThere
             val isMajority = 2 * inSight > there.size + selfThere
-            val ownerIsDead = peers.any { it.member.instance == domain.record?.owner && it.life == PeerLife.DEAD }
+            val ownerIsDead = peers.any { it.life == PeerLife.DEAD && domain.name in it.owned }
             if (isMajority && (ownerIsDead || nowMs() - since >= settings.quorumWaitMs)) {
                 log.event(
                     "owner",
@@ -331,16 +331,16 @@
  * @property staleMs a record that did not change for so long belongs to no live owner; more than two renewals.
  * @property staleIfRefusedMs the same for an owner whose machine refuses connections; one renewal and a slow call.
  * @property yieldMs an owner that gives up to a better one lets its jobs end for so long.
- * @property quorumWaitMs without the store, an owner must be silent for so long; longer than any lease.
+ * @property quorumWaitMs without the store, an owner must be out of sight for so long; as long as a lease.
  * @property retryMs pause between two readings of the records.
  * @property tokenStep, tokenSuffix the low digits of a token name the instance, so that two never choose the same.
  */
 public data class OwnershipSettings(
     val renewMs: Long = 400,
-    val staleMs: Long = 1_000,
+    val staleMs: Long = 800,
     val staleIfRefusedMs: Long = 600,
     val yieldMs: Long = 2_000,
-    val quorumWaitMs: Long = 1_100,
+    val quorumWaitMs: Long = 700,
     val retryMs: Long = 100,
     val tokenStep: Long = TOKEN_STEP,
     val tokenSuffix: Long,
