--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -69,7 +69,9 @@
         val rate = workRate(job.queue.service, nowMs)
         val placesLacking = if (rate > 0) placesLacking(job, nowMs) else 1.0
         if (placesLacking == 0.0) return null
-        val aheadWork = job.queuedWork() * placesLacking + tables.waiting.filter { isServedBefore(it, job) }.sumOf { it.queuedWork() }
+        val aheadWork =
+            job.queuedWork() * placesLacking +
+                tables.waiting.filter { isServedBefore(it, job) }.sumOf { it.queuedWork() }
         if (rate > 0) job.predictedWaitMs = aheadWork / rate
         val waitMs = if (rate > 0) tables.waitEstimate.correctedMs(aheadWork / rate) else Double.MAX_VALUE
         val budgetMs = job.latestStartMs - nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -181,7 +181,13 @@
     }
 
     private fun beat() =
-        PeerMessage.Beat(configuration?.version ?: 0, ownership.owned, store.isReachable, leaving)
+        PeerMessage.Beat(
+            configuration?.version ?: 0,
+            ownership.owned,
+            ownership.released,
+            store.isReachable,
+            leaving,
+        )
 
     private inner class Owned : OwnershipListener {
         override fun owned(failureDomain: String, token: Long) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -14,12 +14,13 @@
     DEAD,
 }
 
-/** A peer as [Ownership] sees it. [owned] maps the failure domains it says it owns to their tokens. */
+/** A peer as [Ownership] sees it. [owned] and [released] are what it says of failure domains, with their tokens. */
 public data class PeerView(
     public val member: PeerMember,
     public val life: PeerLife,
     public val owned: Map<String, Long>,
     public val leaving: Boolean,
+    public val released: Map<String, Long> = emptyMap(),
 )
 
 /** Changes of ownership on this instance. */
@@ -56,6 +57,9 @@
         /** When the record was last seen to change; null before the first reading. */
         var changedAtMs: Long? = null
         var ownedToken: Long? = null
+
+        /** Token under which this instance gave it up; null if it did not, or owns it again. */
+        var releasedToken: Long? = null
     }
 
     private val origin = clock.markNow()
@@ -74,6 +78,10 @@
     public val owned: Map<String, Long>
         get() = domains.values.mapNotNull { domain -> domain.ownedToken?.let { domain.name to it } }.toMap()
 
+    /** Tokens of the failure domains that this instance has given up. */
+    public val released: Map<String, Long>
+        get() = domains.values.mapNotNull { domain -> domain.releasedToken?.let { domain.name to it } }.toMap()
+
     private fun nowMs() = origin.elapsedNow().inWholeMilliseconds
 
     /** The store has given this life its number. */
@@ -137,7 +145,10 @@
         val records = released.map {
             VersionedOwner(OwnerRecord(it.name, owner = "", ownerNumber = 0, token = it.ownedToken ?: 0), it.version)
         }
-        released.forEach { lose(it.name, reason) }
+        released.forEach {
+            it.releasedToken = it.ownedToken
+            lose(it.name, reason)
+        }
         store.writeOwners(records) { written(records, it, claims = false) }
     }
 
@@ -177,6 +188,8 @@
             return
         }
         val since = suspectSinceMs ?: nowMs().also { suspectSinceMs = it }
+        orphaned.filter(::isHandedOver).forEach { take(it, nextToken(it)) }
+        if (orphaned.all { it.ownedToken != null }) return
         if (storeCallInFlight || nowMs() < nextStoreCallMs) return
         storeCallInFlight = true
         store.readOwners { owners ->
@@ -193,6 +206,12 @@
         }
     }
 
+    /** The last owner has given it up, and says so itself: the record in the store can follow later. */
+    private fun isHandedOver(domain: Domain): Boolean {
+        val token = peers.filter { it.life == PeerLife.ALIVE }.maxOfOrNull { it.released[domain.name] ?: 0 } ?: 0
+        return token > 0 && token >= maxOf(domain.record?.token ?: 0, domain.highestToken)
+    }
+
     private fun isOrphaned(domain: Domain): Boolean {
         if (domain.ownedToken != null) return false
         return peers.none { it.life == PeerLife.ALIVE && domain.name in it.owned }
@@ -261,15 +280,20 @@
 
     /** Unique among instances by its low digits, and above all that is known. */
     private fun nextToken(domain: Domain): Long {
-        val known = maxOf(domain.record?.token ?: 0, domain.ownedToken ?: 0, domain.highestToken)
+        val known =
+            maxOf(domain.record?.token ?: 0, domain.ownedToken ?: 0, domain.releasedToken ?: 0, domain.highestToken)
         return (known / settings.tokenStep + 1) * settings.tokenStep + settings.tokenSuffix
     }
 
-    private val Domain.highestToken: Long get() = peers.maxOfOrNull { it.owned[name] ?: 0 } ?: 0
+    private val Domain.highestToken: Long get() = peers.maxOfOrNull {
+        maxOf(it.owned[name] ?: 0, it.released[name] ?: 0)
+    }
+        ?: 0
 
     private fun take(domain: Domain, token: Long) {
         if (domain.ownedToken == token) return
         domain.ownedToken = token
+        domain.releasedToken = null
         renewedAtMs = nowMs()
         log.event("owner", "claimed", "failureDomain", domain.name, "token", token, "rowVersion", domain.version)
         listener.owned(domain.name, token)
@@ -336,9 +360,9 @@
  * @property tokenStep, tokenSuffix the low digits of a token name the instance, so that two never choose the same.
  */
 public data class OwnershipSettings(
-    val renewMs: Long = 400,
-    val staleMs: Long = 800,
-    val staleIfRefusedMs: Long = 600,
+    val renewMs: Long = 250,
+    val staleMs: Long = 650,
+    val staleIfRefusedMs: Long = 450,
     val yieldMs: Long = 2_000,
     val quorumWaitMs: Long = 700,
     val retryMs: Long = 100,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -15,6 +15,7 @@
      * Heartbeat.
      *
      * @property owned tokens of the failure domains that the sender owns.
+     * @property released tokens of the failure domains that the sender has given up to whoever comes next.
      * @property storeReachable whether the platform's store answers the sender.
      */
     @Serializable
@@ -22,6 +23,7 @@
     public data class Beat(
         val configurationVersion: Long = 0,
         val owned: Map<String, Long> = emptyMap(),
+        val released: Map<String, Long> = emptyMap(),
         val storeReachable: Boolean = true,
         val leaving: Boolean = false,
     ) : PeerMessage
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -106,7 +106,7 @@
     public fun views(): List<PeerView> {
         val own = self().instance
         return peers.values.filter { it.member.instance != own }
-            .map { PeerView(it.member, it.life, it.beat.owned, it.beat.leaving) }
+            .map { PeerView(it.member, it.life, it.beat.owned, it.beat.leaving, it.beat.released) }
     }
 
     public fun beatOf(instance: String): PeerMessage.Beat? = peers[instance]?.takeIf { it.life == PeerLife.ALIVE }?.beat
@@ -290,15 +290,15 @@
  * Times of [PeerNetwork] in milliseconds, and how many peers an instance keeps connections to.
  *
  * @property beatMs heartbeat interval.
- * @property redialAfterMs silence after which a new connection is tried: three heartbeats.
+ * @property redialAfterMs silence after which a new connection is tried: more than two heartbeats.
  * @property silentMs silence after which a peer no longer counts as alive; leaves a new connection time to be heard.
  * @property fullMeshSize up to so many peers are all watched. Above, only the most senior and the owners are, so that
  *   the cost of an instance does not grow with the number of instances.
  */
 public data class PeerNetworkSettings(
     val beatMs: Long = 100,
-    val redialAfterMs: Long = 300,
-    val silentMs: Long = 500,
+    val redialAfterMs: Long = 250,
+    val silentMs: Long = 400,
     val redialPauseMs: Long = 200,
     val connectTimeoutMs: Long = 400,
     val fullMeshSize: Int = 12,
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -58,7 +58,7 @@
             lost += failureDomain
         }
 
-        fun view() = PeerView(member, life, ownership.owned, leaving = false)
+        fun view() = PeerView(member, life, ownership.owned, leaving = false, released = ownership.released)
     }
 
     private val a = Node("a", "d1", number = 1)
@@ -144,6 +144,18 @@
         b.ownership.owned["d1"] shouldNotBe null
     }
 
+    /** Seen when the owner stopped while the store was slow: no instance claimed for 6.5 s. */
+    @Test
+    fun `an owner that stops is followed at once without the store`() {
+        run(500, sees = ::all)
+        storeIsUp = false
+        a.ownership.leave()
+        run(200, nodes = listOf(b, c)) { node ->
+            listOf(a.view().copy(leaving = true)) + listOf(b, c).filter { it !== node }.map { it.view() }
+        }
+        b.ownership.owned.keys shouldBe setOf("d1", "d2")
+    }
+
     @Test
     fun `after a partition one owner remains`() {
         run(500, sees = ::all)
