One owner for each failure domain in large deployments; jobs overflow to owners with room

From 16 instances on, each failure domain has an owner of its own, the strongest machine there goes first, and an owner gives up to a machine with more than 1.5 times its processor. An entry sends a job that its owner refuses for lack of room to the least loaded other owner, once.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -100,6 +100,10 @@
 
     fun allTasks(): Sequence<TaskRow> = tasks.asSequence().flatten()
 
+    /** Thousandths of cores that the queued tasks need. */
+    fun queuedMillis(): Long =
+        allTasks().filter { it.state == TaskState.QUEUED }.sumOf { it.step.demand.cpuMillis.toLong() }
+
     /** Work of the queued tasks, in thousandths of core-milliseconds at speed 1. */
     fun queuedWork(): Double {
         var work = 0.0
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -29,6 +29,20 @@
 
     public val openJobs: Int get() = tables.jobs.size
 
+    /** Demand of running and waiting tasks, as a part of the room of usable backend servers. */
+    public fun loadPercent(): Int {
+        val nowMs = nowMs()
+        val usable = tables.backends.values.filter {
+            !it.info.draining && !it.isUnreachable &&
+                it.ejectedUntilMs <= nowMs
+        }
+        val roomMillis = usable.sumOf { it.info.capacity.cpuMillis.toLong() }
+        if (roomMillis == 0L) return FULL_PERCENT
+        val runningMillis = usable.sumOf { (it.info.capacity.cpuMillis - it.free.cpuMillis).toLong() }
+        val waitingMillis = tables.waiting.sumOf { it.queuedMillis() }
+        return ((runningMillis + waitingMillis) * FULL_PERCENT / roomMillis).toInt()
+    }
+
     /** Accepted jobs of [queue] of which no task was ever ordered. */
     public fun waitingJobs(queue: QueueId): Int =
         tables.jobs.values.count { it.queue.id == queue && !it.everOrdered }
@@ -227,4 +241,8 @@
 
     /** Whether some backend server can be ordered now. */
     public val hasBackend: Boolean get() = tables.backends.values.any { it.seenAtMs != NEVER_MS && !it.isUnreachable }
+
+    private companion object {
+        const val FULL_PERCENT = 100
+    }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -7,6 +7,9 @@
     /** The instance that takes jobs now, this one included; null if there is none. */
     fun ownerOrNull(): String?
 
+    /** An owner other than [owner] that has room for jobs which [owner] has refused; null if there is none. */
+    fun lessLoadedOrNull(owner: String): String?
+
     /** Whether [instance] is heard and takes jobs. */
     fun isOwner(instance: String): Boolean
 
@@ -41,6 +44,9 @@
         var sent = false
         var progress: JobProgress? = null
         var disownedAtMs = NEVER_MS
+
+        /** Sent to a second owner after the first refused it. */
+        var overflowed = false
     }
 
     private val origin = clock.markNow()
@@ -114,9 +120,20 @@
     }
 
     internal fun ended(number: Long, result: JobResult) {
-        pending[number]?.let { finish(it, result) }
+        val entry = pending[number] ?: return
+        val other = if (isOverload(result) && !entry.overflowed) entry.owner?.let(link::lessLoadedOrNull) else null
+        if (other == null) return finish(entry, result)
+        log.event(
+            "entry", "job-overflowed", "request", entry.requestId, "job", entry.request.id,
+            "from", entry.owner, "to", other,
+        )
+        entry.overflowed = true
+        entry.sent = false
+        send(entry, other)
     }
 
+    private fun isOverload(result: JobResult) = result is JobResult.NotRun && result.code == NotRunCode.OVERLOAD
+
     internal fun moved(number: Long, progress: JobProgress) {
         val entry = pending[number] ?: return
         log.event(
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -8,6 +8,8 @@
  * Settings of a [FleetInstance].
  *
  * @property failureDomains all failure domains of the deployment.
+ * @property spreadFrom from so many instances on, each failure domain has an owner of its own: one machine orders about
+ *   700 starts a second.
  * @property seeds addresses where peers may be found while the store can't be reached.
  */
 public data class FleetSettings(
@@ -17,6 +19,7 @@
     val ownership: OwnershipSettings,
     val dispatch: DispatchSettings = DispatchSettings(),
     val network: PeerNetworkSettings = PeerNetworkSettings(),
+    val spreadFrom: Int = 16,
 )
 
 /**
@@ -128,6 +131,7 @@
     }
 
     private fun ownershipTick() {
+        ownership.isSpread = network.members().size >= settings.spreadFrom
         ownership.tick(network.views(), dispatcher.openJobs) { dispatcher.isInContact(it, CONTACT_MS) }
         store.watchBackends(shouldWatchBackends(), ::backendsListed)
         for (peer in network.views()) {
@@ -157,7 +161,17 @@
         val changed = listed != backends
         backends = listed
         if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.listBackends(listed)
-        if (changed) network.broadcast(PeerMessage.Backends(listed))
+        if (changed) backendRecipients().forEach { network.send(it, PeerMessage.Backends(listed)) }
+    }
+
+    /** Other owners, and the instances that would own next. */
+    private fun backendRecipients(): List<String> {
+        val alive = network.views().filter {
+            it.life == PeerLife.ALIVE
+        }.sortedWith(compareBy(PeerMember.BY_PREFERENCE) { it.member })
+        val next =
+            alive.take(NEXT_OWNERS) + alive.filter { it.member.failureDomain == self.failureDomain }.take(NEXT_OWNERS)
+        return (alive.filter { it.owned.isNotEmpty() } + next).map { it.member.instance }.distinct()
     }
 
     /** Accepted jobs of [queue] that wait here. */
@@ -185,6 +199,7 @@
             configuration?.version ?: 0,
             ownership.owned,
             ownership.released,
+            dispatcher.loadPercent(),
             store.isReachable,
             leaving,
         )
@@ -247,16 +262,31 @@
         override fun fenced(failureDomain: String) = ownership.fenced(failureDomain)
     }
 
+    /** All owners that are heard, this instance included. */
+    private fun owners(): List<PeerView> {
+        val own = PeerView(self, PeerLife.ALIVE, ownership.owned, leaving)
+        return (network.views() + own).filter { it.life == PeerLife.ALIVE && it.owned.isNotEmpty() }
+    }
+
     private inner class Link : OwnerLink {
         override fun ownerOrNull(): String? {
-            val best = network.views().filter { it.life == PeerLife.ALIVE && it.owned.isNotEmpty() }
-                .minWithOrNull(compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number })
-            val own = dispatcher.ownedDomains.size
-            if (best == null) return self.instance.takeIf { own > 0 }
-            val isOwnBetter = own > best.owned.size || (own == best.owned.size && self.number < best.member.number)
-            return if (isOwnBetter) self.instance else best.member.instance
+            val owners = owners()
+            owners.firstOrNull {
+                ownership.isSpread && self.failureDomain in it.owned
+            }?.let { return it.member.instance }
+            return owners.minWithOrNull(BEST_OWNER)?.member?.instance
         }
 
+        override fun lessLoadedOrNull(owner: String): String? =
+            owners().filter { it.member.instance != owner }
+                .map {
+                    it.member.instance to
+                        (network.beatOf(it.member.instance)?.loadPercent ?: dispatcher.loadPercent())
+                }
+                .filter { (_, loadPercent) -> loadPercent < OVERFLOW_PERCENT }
+                .minByOrNull { (_, loadPercent) -> loadPercent }
+                ?.first
+
         override fun isOwner(instance: String): Boolean =
             if (instance == self.instance) {
                 dispatcher.ownedDomains.isNotEmpty()
@@ -343,10 +373,17 @@
     }
 
     private companion object {
+        val BEST_OWNER = compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number }
         const val OWNERSHIP_TICK_MS = 50L
         const val DISPATCH_TICK_MS = 20L
         const val REGISTER_RETRY_MS = 300L
 
+        /** An owner takes jobs that another has refused below this load, which leaves room for its own callers. */
+        const val OVERFLOW_PERCENT = 75
+
+        /** Instances beside the owners that are told the list of backend servers. */
+        const val NEXT_OWNERS = 3
+
         /** A failure domain none of whose backend servers has answered for so long is out of reach. */
         const val CONTACT_MS = 1_000L
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
@@ -5,6 +5,7 @@
 /**
  * An instance as the store and its peers know it.
  *
+ * @property strength processor of its machine in tenths of a core; the strongest are preferred as owners.
  * @property number rises with each start of any instance; the lowest is the most senior. It tells the lives of an
  *   instance apart.
  */
@@ -15,6 +16,7 @@
     public val host: String,
     public val port: Int,
     public val number: Long,
+    public val strength: Int = 0,
 ) {
     /** Whether the store has given this life its number. */
     public val isRegistered: Boolean get() = number < UNREGISTERED
@@ -22,6 +24,11 @@
     public companion object {
         /** Numbers from here on are provisional until the store can be reached. They make the life the most junior. */
         public const val UNREGISTERED: Long = 1L shl 52
+
+        /** Best candidate for ownership first: the strongest, then the most senior. */
+        public val BY_PREFERENCE: Comparator<PeerMember> = compareByDescending<PeerMember> {
+            it.strength
+        }.thenBy { it.number }
     }
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -14,7 +14,7 @@
     DEAD,
 }
 
-/** A peer as [Ownership] sees it. [owned] and [released] are what it says of failure domains, with their tokens. */
+/** A peer. [owned] and [released] are failure domains that it says it owns or has given up, with their tokens. */
 public data class PeerView(
     public val member: PeerMember,
     public val life: PeerLife,
@@ -33,8 +33,11 @@
 /**
  * Decides which failure domains' backend servers this instance orders.
  *
- * One instance owns all failure domains where it reaches them; the owner of the most stays, then the most senior. The
- * record in the store is the witness: an owner that peers don't hear is replaced only when its record has not been
+ * In a small deployment one instance owns all failure domains that it reaches; the owner of the most stays. In a large
+ * one each failure domain has an owner of its own, an instance there. Then the strongest goes first, then the most
+ * senior.
+ *
+ * The record in the store is the witness: an owner that peers don't hear is replaced only when its record has not been
  * renewed for [OwnershipSettings.staleMs]. If the store can't be reached either, an instance takes a failure domain
  * over only if it hears more than half of the instances there. Backend servers refuse all but the highest token, so
  * two owners never both order one of them.
@@ -72,6 +75,9 @@
     private var suspectSinceMs: Long? = null
     private var yieldingSinceMs: Long? = null
     private var leaving = false
+
+    /** Whether each failure domain has an owner of its own, for deployments that are too large for one. */
+    public var isSpread: Boolean = false
     private var storeFailures = 0
 
     /** Tokens of the owned failure domains. */
@@ -116,31 +122,47 @@
 
     /** After a partition, the owner of fewer failure domains gives them up to the other. */
     private fun yieldToBetterOwner(openJobs: Int) {
-        val better = betterOwnerOrNull()
-        if (better == null) {
+        val better = betterOwners()
+        if (better.isEmpty()) {
             yieldingSinceMs = null
             return
         }
         val since = yieldingSinceMs ?: nowMs().also { yieldingSinceMs = it }
-        if (openJobs == 0 || nowMs() - since >= settings.yieldMs) {
+        // Only a planned move waits for open jobs: after a partition two owners have parts of what each needs.
+        if ((openJobs == 0 && owned.size == better.size) || nowMs() - since >= settings.yieldMs) {
             yieldingSinceMs = null
-            release("peer ${better.member.instance} owns ${better.owned.size} failure domains")
+            release(better.keys, "better placed: ${better.values.first().member.instance}")
         }
     }
 
-    private fun betterOwnerOrNull(): PeerView? {
-        if (owned.isEmpty() || owned.size == failureDomains.size) return null
-        val best = peers.filter {
-            it.life == PeerLife.ALIVE && !it.leaving && it.owned.isNotEmpty()
-        }.minWithOrNull(BEST)
-        return best?.takeIf {
-            it.owned.size > owned.size || (it.owned.size == owned.size && it.member.number < number)
+    /** Owned failure domains that another instance should own, with that instance. */
+    private fun betterOwners(): Map<Domain, PeerView> {
+        val mine = domains.values.filter { it.ownedToken != null }
+        if (mine.isEmpty()) return emptyMap()
+        val others = peers.filter { it.life == PeerLife.ALIVE && !it.leaving }
+        val better = HashMap<Domain, PeerView>()
+        for (domain in mine) {
+            others.filter {
+                isBetterFor(domain, it, mine.size)
+            }.minWithOrNull(compareBy(PeerMember.BY_PREFERENCE) { it.member })
+                ?.let { better[domain] = it }
         }
+        return better
     }
 
-    /** Gives all failure domains up so that another instance can own them at once. */
-    public fun release(reason: String) {
-        val released = domains.values.filter { it.ownedToken != null }
+    private fun isBetterFor(domain: Domain, peer: PeerView, ownedCount: Int): Boolean {
+        val theirs = rank(domain, peer.member.failureDomain, peer.owned.size)
+        val mine = rank(domain, self.failureDomain, ownedCount)
+        val isStronger = peer.member.strength * WEAKER_FACTOR > self.strength * STRONGER_FACTOR
+        if (isSpread) return theirs > mine || (theirs == mine && isStronger)
+        if (peer.owned.isEmpty()) return isStronger
+        if (ownedCount == domains.size) return false
+        return theirs > mine || (theirs == mine && PeerMember.BY_PREFERENCE.compare(peer.member, selfNow()) < 0)
+    }
+
+    /** Gives failure domains up so that another instance can own them at once. */
+    private fun release(given: Collection<Domain>, reason: String) {
+        val released = given.filter { it.ownedToken != null }
         if (released.isEmpty()) return
         val records = released.map {
             VersionedOwner(OwnerRecord(it.name, owner = "", ownerNumber = 0, token = it.ownedToken ?: 0), it.version)
@@ -155,7 +177,7 @@
     /** Releases all and claims nothing any more. */
     public fun leave() {
         leaving = true
-        release("this instance stops")
+        release(domains.values, "this instance stops")
     }
 
     /** A backend server of [failureDomain] has obeyed a higher token. */
@@ -182,7 +204,7 @@
     private fun record(name: String, token: Long) = OwnerRecord(name, self.instance, number, token)
 
     private fun claimOrphaned() {
-        val orphaned = domains.values.filter { isOrphaned(it) && isCandidate() }
+        val orphaned = domains.values.filter { isOrphaned(it) && isCandidate(it) }
         if (orphaned.isEmpty()) {
             suspectSinceMs = null
             return
@@ -217,15 +239,25 @@
         return peers.none { it.life == PeerLife.ALIVE && domain.name in it.owned }
     }
 
-    /** The owner of the most failure domains, then the most senior instance, claims what has no owner. */
-    private fun isCandidate(): Boolean {
-        val size = owned.size
+    /** Who claims [domain] when it has no owner: see [rank]. */
+    private fun isCandidate(domain: Domain): Boolean {
+        val mine = rank(domain, self.failureDomain, owned.size)
         return peers.none {
-            it.life == PeerLife.ALIVE && !it.leaving &&
-                (it.owned.size > size || (it.owned.size == size && it.member.number < number))
+            if (it.life != PeerLife.ALIVE || it.leaving) return@none false
+            val theirs = rank(domain, it.member.failureDomain, it.owned.size)
+            theirs > mine || (theirs == mine && PeerMember.BY_PREFERENCE.compare(it.member, selfNow()) < 0)
         }
     }
 
+    /** With one owner for all, the owner of the most goes first; with one for each, those that are in the domain. */
+    private fun rank(domain: Domain, inDomain: String, ownedCount: Int): Int = when {
+        !isSpread -> ownedCount
+        inDomain == domain.name -> 1
+        else -> 0
+    }
+
+    private fun selfNow() = self.copy(number = number)
+
     private fun note(owners: Map<String, VersionedOwner>) {
         for (domain in domains.values) {
             val found = owners[domain.name] ?: VersionedOwner(null, 0)
@@ -236,8 +268,8 @@
     }
 
     private fun claimByStore() {
-        if (leaving || !isCandidate()) return
-        val claimable = domains.values.filter { isOrphaned(it) && isFree(it) }
+        if (leaving) return
+        val claimable = domains.values.filter { isOrphaned(it) && isCandidate(it) && isFree(it) }
         if (claimable.isEmpty()) return
         write(claimable.map { VersionedOwner(record(it.name, nextToken(it)), it.version) }, claims = true)
     }
@@ -254,9 +286,9 @@
 
     /** Without the store: the owner must be out of sight, and most instances of the failure domain in sight. */
     private fun claimByQuorum(since: Long) {
-        if (leaving || !isCandidate()) return
+        if (leaving) return
         for (domain in domains.values) {
-            if (!isOrphaned(domain)) continue
+            if (!isOrphaned(domain) || !isCandidate(domain)) continue
             val there = peers.filter { it.member.failureDomain == domain.name && it.life != PeerLife.DEAD }
             val selfThere = if (self.failureDomain == domain.name) 1 else 0
             val inSight = there.count { it.life == PeerLife.ALIVE } + selfThere
@@ -344,7 +376,9 @@
     }
 
     private companion object {
-        val BEST = compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number }
+        /** An owner gives up to an instance whose machine has more than 1.5 times its processor. */
+        const val STRONGER_FACTOR = 3
+        const val WEAKER_FACTOR = 2
     }
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -16,6 +16,7 @@
      *
      * @property owned tokens of the failure domains that the sender owns.
      * @property released tokens of the failure domains that the sender has given up to whoever comes next.
+     * @property loadPercent demand of running and waiting tasks, as a part of the room that the sender orders.
      * @property storeReachable whether the platform's store answers the sender.
      */
     @Serializable
@@ -24,6 +25,7 @@
         val configurationVersion: Long = 0,
         val owned: Map<String, Long> = emptyMap(),
         val released: Map<String, Long> = emptyMap(),
+        val loadPercent: Int = 0,
         val storeReachable: Boolean = true,
         val leaving: Boolean = false,
     ) : PeerMessage
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -165,10 +165,10 @@
         val own = self()
         val others = peers.values.filter { it.member.instance != own.instance }
         if (others.size <= settings.fullMeshSize) return others.toSet()
-        val bySeniority = others.sortedBy { it.member.number }
+        val byPreference = others.sortedWith(compareBy(PeerMember.BY_PREFERENCE) { it.member })
         val watched = HashSet<Peer>()
-        watched += bySeniority.take(settings.watchedSeniors)
-        watched += bySeniority.filter { it.member.failureDomain == own.failureDomain }.take(settings.watchedInDomain)
+        watched += byPreference.take(settings.watchedPreferred)
+        watched += byPreference.filter { it.member.failureDomain == own.failureDomain }.take(settings.watchedInDomain)
         watched += others.filter { it.life == PeerLife.ALIVE && it.beat.owned.isNotEmpty() }
         return watched
     }
@@ -302,6 +302,6 @@
     val redialPauseMs: Long = 200,
     val connectTimeoutMs: Long = 400,
     val fullMeshSize: Int = 12,
-    val watchedSeniors: Int = 4,
+    val watchedPreferred: Int = 3,
     val watchedInDomain: Int = 2,
 )
--- /dev/null
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -0,0 +1,97 @@
+package medlarroute.dispatch
+
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+/** Requests of callers when owners refuse, hand over or vanish. */
+class EntryServiceTest {
+    private val clock = TestTimeSource()
+    private val sent = ArrayList<Pair<String, PeerMessage.Submit>>()
+    private val results = ArrayList<JobResult>()
+    private val owners = linkedSetOf("a")
+    private val alive = hashSetOf("a", "b")
+    private var lessLoaded: String? = null
+    private val link = object : OwnerLink {
+        override fun ownerOrNull() = owners.firstOrNull()
+
+        override fun isOwner(instance: String) = instance in owners
+
+        override fun isAlive(instance: String) = instance in alive
+
+        override fun lessLoadedOrNull(owner: String) = lessLoaded
+
+        override fun submit(owner: String, message: PeerMessage.Submit) {
+            sent += owner to message
+        }
+
+        override fun cancel(owner: String, message: PeerMessage.Cancel) = Unit
+    }
+    private val entry = EntryService(clock, link) { _, _, _ -> }
+    private val job = JobRequest(JobId("j"), QueueId("q"), "p", listOf(StepRequest(1, Resources(1))))
+    private val overload = JobResult.NotRun(NotRunCode.OVERLOAD, "full", 1_000)
+
+    private fun submit() = entry.submit(job, "r", timeoutMs = 2_000) { results += it }
+
+    private fun pass(ms: Long) {
+        clock += ms.milliseconds
+        entry.tick()
+    }
+
+    /** Crest in one failure domain while another has room: its owner takes the job as a new one. */
+    @Test
+    fun `a job that its owner refuses goes to one with room, once`() {
+        lessLoaded = "b"
+        val number = submit()
+        entry.ended(number, overload)
+        sent.map { it.first } shouldContainExactly listOf("a", "b")
+        sent.last().second.progress.shouldBeNull()
+        entry.ended(number, overload)
+        results shouldContainExactly listOf(overload)
+    }
+
+    @Test
+    fun `without an owner a job is refused at once as not run`() {
+        owners.clear()
+        submit()
+        results.single().shouldBeInstanceOf<JobResult.NotRun>().code shouldBe NotRunCode.NO_OWNER
+    }
+
+    /** Fails if the next owner is not told what the last one has ordered, and so has to wait for a lease. */
+    @Test
+    fun `a job whose owner hands over goes on with its progress`() {
+        val number = submit()
+        owners.clear()
+        owners += "b"
+        pass(100)
+        val progress = JobProgress(done = listOf(TaskKey(JobId("j"), 0, 0)), ordered = emptyList())
+        entry.moved(number, progress)
+        sent.last() shouldBe ("b" to sent.last().second)
+        sent.last().second.progress shouldBe progress
+    }
+
+    @Test
+    fun `a job whose owner vanished goes to the next with unknown progress`() {
+        submit()
+        alive -= "a"
+        owners.clear()
+        pass(50)
+        owners += "b"
+        pass(50)
+        sent.map { it.first } shouldContainExactly listOf("a", "b")
+        sent.last().second.progress shouldBe JobProgress()
+    }
+
+    @Test
+    fun `a request gets its one answer at its caller's deadline`() {
+        val number = submit()
+        pass(2_000)
+        results.single().shouldBeInstanceOf<JobResult.Abandoned>()
+        entry.ended(number, JobResult.Complete)
+        results.size shouldBe 1
+    }
+}
