Give each owner of a job another request number, and pass no refusal on as not run after a lost owner

Numbers now name an attempt at one owner, and a refusal after an owner that may have started tasks is answered as abandoned. Two tests failed first. An owner that loses sight of an entry now also sends it what it knew of the withdrawn jobs, in case the entry still hears it.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -180,12 +180,19 @@
     /** State of a job that is open here. */
     public fun isStarted(job: JobId): Boolean? = tables.jobs[job]?.everOrdered
 
-    /** The instance has gone: nobody waits for its jobs. */
-    public fun originLost(instance: String) {
+    /**
+     * The instance is out of sight: withdraws its jobs. Returns what was known of each, for the case that the instance
+     * still hears this one.
+     */
+    public fun originLost(instance: String): List<Triple<JobOrigin, JobId, JobProgress>> {
         val gone = tables.jobs.values.flatMap { job ->
             job.origins.filter { it.instance == instance }.map { job to it }
         }
-        gone.forEach { (job, origin) -> cancel(job.request.id, origin, "instance $instance is lost") }
+        return gone.map { (job, origin) ->
+            val progress = progressOf(job)
+            cancel(job.request.id, origin, "instance $instance is lost")
+            Triple(origin, job.request.id, progress)
+        }
     }
 
     public fun startAnswered(order: StartOrder, result: StartResult) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -33,7 +33,7 @@
     private val log: EventLog,
 ) {
     private class Pending(
-        val number: Long,
+        val handle: Long,
         val request: JobRequest,
         val requestId: String,
         val arrivedAtMs: Long,
@@ -41,7 +41,12 @@
         val onResult: (JobResult) -> Unit,
     ) {
         var owner: String? = null
-        var sent = false
+
+        /** Names the request at [owner]. Each owner gets another one, so that none answers for an earlier attempt. */
+        var number = 0L
+
+        /** An owner that did not refuse it may have started tasks. */
+        var mayHaveRun = false
         var progress: JobProgress? = null
         var disownedAtMs = NEVER_MS
 
@@ -51,13 +56,14 @@
 
     private val origin = clock.markNow()
     private val pending = LinkedHashMap<Long, Pending>()
+    private val byNumber = HashMap<Long, Pending>()
     private var nextNumber = 1L
 
     public val openRequests: Int get() = pending.size
 
     private fun nowMs() = origin.elapsedNow().inWholeMilliseconds
 
-    /** Runs [request]; [onResult] is called once. Returns the number to [cancel] it with. */
+    /** Runs [request]; [onResult] is called once. Returns the handle to [cancel] it with. */
     public fun submit(
         request: JobRequest,
         requestId: String,
@@ -66,7 +72,7 @@
     ): Long {
         val nowMs = nowMs()
         val entry = Pending(nextNumber++, request, requestId, nowMs, nowMs + timeoutMs, onResult)
-        pending[entry.number] = entry
+        pending[entry.handle] = entry
         val owner = link.ownerOrNull()
         log.event(
             "entry", "job-received", "request", requestId, "job", request.id, "queue", request.queue,
@@ -74,7 +80,7 @@
             request.steps.sumOf {
                 it.taskCount
             },
-            "timeoutMs", timeoutMs, "owner", owner, "entry", entry.number,
+            "timeoutMs", timeoutMs, "owner", owner, "entry", entry.handle,
         )
         if (owner == null) {
             finish(
@@ -84,12 +90,13 @@
         } else {
             send(entry, owner)
         }
-        return entry.number
+        return entry.handle
     }
 
     /** The caller has left. */
-    public fun cancel(number: Long) {
-        val entry = pending.remove(number) ?: return
+    public fun cancel(handle: Long) {
+        val entry = pending[handle] ?: return
+        remove(entry)
         log.event(
             "entry",
             "caller-left",
@@ -105,10 +112,14 @@
 
     private fun send(entry: Pending, owner: String) {
         val nowMs = nowMs()
+        if (entry.owner != owner) {
+            byNumber.remove(entry.number)
+            entry.number = nextNumber++
+            byNumber[entry.number] = entry
+        }
         entry.owner = owner
         entry.disownedAtMs = NEVER_MS
-        val progress = entry.progress ?: if (entry.sent) JobProgress() else null
-        entry.sent = true
+        val progress = entry.progress ?: if (entry.mayHaveRun) JobProgress() else null
         val message = PeerMessage.Submit(
             entry.number,
             entry.request,
@@ -120,22 +131,35 @@
     }
 
     internal fun ended(number: Long, result: JobResult) {
-        val entry = pending[number] ?: return
-        val other = if (isOverload(result) && !entry.overflowed) entry.owner?.let(link::lessLoadedOrNull) else null
+        val entry = byNumber[number] ?: return
+        val other = if (isOverload(result) && !entry.overflowed &&
+            !entry.mayHaveRun
+        ) {
+            entry.owner?.let(link::lessLoadedOrNull)
+        } else {
+            null
+        }
         if (other == null) return finish(entry, result)
         log.event(
             "entry", "job-overflowed", "request", entry.requestId, "job", entry.request.id,
             "from", entry.owner, "to", other,
         )
         entry.overflowed = true
-        entry.sent = false
         send(entry, other)
     }
 
+    /** An owner's "not run" says nothing about the owners before it. */
+    private fun truthful(entry: Pending, result: JobResult): JobResult =
+        if (result is JobResult.NotRun && entry.mayHaveRun) {
+            JobResult.Abandoned("refused by the next owner, may have run: ${result.reason}")
+        } else {
+            result
+        }
+
     private fun isOverload(result: JobResult) = result is JobResult.NotRun && result.code == NotRunCode.OVERLOAD
 
     internal fun moved(number: Long, progress: JobProgress) {
-        val entry = pending[number] ?: return
+        val entry = byNumber[number] ?: return
         log.event(
             "entry", "job-moved", "request", entry.requestId, "job", entry.request.id,
             "from", entry.owner, "done", progress.done.size,
@@ -147,10 +171,14 @@
 
     /** Messages on earlier connections to [owner] may be lost. */
     internal fun reconnected(owner: String) {
-        pending.values.filter { it.owner == owner }.forEach { send(it, owner) }
+        for (entry in pending.values.filter { it.owner == owner }) {
+            send(entry, owner)
+            entry.mayHaveRun = true
+        }
     }
 
     private fun reroute(entry: Pending) {
+        entry.mayHaveRun = true
         val owner = link.ownerOrNull() ?: return
         log.event(
             "entry", "job-rerouted", "request", entry.requestId, "job", entry.request.id,
@@ -183,8 +211,14 @@
         if (nowMs - entry.disownedAtMs >= MOVED_WAIT_MS) reroute(entry)
     }
 
-    private fun finish(entry: Pending, result: JobResult) {
-        pending.remove(entry.number)
+    private fun remove(entry: Pending) {
+        pending.remove(entry.handle)
+        byNumber.remove(entry.number)
+    }
+
+    private fun finish(entry: Pending, given: JobResult) {
+        remove(entry)
+        val result = truthful(entry, given)
         log.event(
             "entry", "job-answered", "request", entry.requestId, "job", entry.request.id, "result", result,
             "owner", entry.owner, "tookMs", nowMs() - entry.arrivedAtMs,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -138,7 +138,9 @@
             if (peer.life == PeerLife.ALIVE) {
                 lostOrigins -= peer.member.instance
             } else if (lostOrigins.add(peer.member.instance)) {
-                dispatcher.originLost(peer.member.instance)
+                dispatcher.originLost(peer.member.instance).forEach { (origin, job, progress) ->
+                    tellMoved(origin, job, progress)
+                }
             }
         }
         entry.tick()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -127,7 +127,8 @@
         val request = world.job("j", tasks = 4, estimateMs = 500)
         world.submit(request)
         world.run(untilMs = 150)
-        world.dispatcher.originLost("i1")
+        val known = world.dispatcher.originLost("i1").single()
+        known.third.ordered?.size shouldBe 4
         world.submit(request)
         world.run(untilMs = 2_000)
         world.doubleRuns.shouldBeEmpty()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -46,14 +46,41 @@
     @Test
     fun `a job that its owner refuses goes to one with room, once`() {
         lessLoaded = "b"
-        val number = submit()
-        entry.ended(number, overload)
+        submit()
+        entry.ended(sent.last().second.number, overload)
         sent.map { it.first } shouldContainExactly listOf("a", "b")
         sent.last().second.progress.shouldBeNull()
-        entry.ended(number, overload)
+        entry.ended(sent.last().second.number, overload)
         results shouldContainExactly listOf(overload)
     }
 
+    /** Seen in a grown deployment: the owner replayed its refusal although another had started the job meanwhile. */
+    @Test
+    fun `a job that comes back to the owner that refused it has a new number there`() {
+        lessLoaded = "b"
+        val handle = submit()
+        entry.ended(sent.last().second.number, overload)
+        alive -= "b"
+        pass(50)
+        sent.map { it.first } shouldContainExactly listOf("a", "b", "a")
+        (sent[2].second.number == sent[0].second.number) shouldBe false
+        entry.ended(sent[0].second.number, overload)
+        results.size shouldBe 0
+        entry.cancel(handle)
+    }
+
+    /** Fails if a caller is told that a job never ran that an owner out of sight may have started. */
+    @Test
+    fun `a refusal after a first owner was lost is not passed on as not run`() {
+        submit()
+        alive -= "a"
+        owners.clear()
+        owners += "b"
+        pass(50)
+        entry.ended(sent.last().second.number, overload)
+        results.single().shouldBeInstanceOf<JobResult.Abandoned>()
+    }
+
     @Test
     fun `without an owner a job is refused at once as not run`() {
         owners.clear()
@@ -64,12 +91,12 @@
     /** Fails if the next owner is not told what the last one has ordered, and so has to wait for a lease. */
     @Test
     fun `a job whose owner hands over goes on with its progress`() {
-        val number = submit()
+        submit()
         owners.clear()
         owners += "b"
         pass(100)
         val progress = JobProgress(done = listOf(TaskKey(JobId("j"), 0, 0)), ordered = emptyList())
-        entry.moved(number, progress)
+        entry.moved(sent.last().second.number, progress)
         sent.last() shouldBe ("b" to sent.last().second)
         sent.last().second.progress shouldBe progress
     }
@@ -88,10 +115,10 @@
 
     @Test
     fun `a request gets its one answer at its caller's deadline`() {
-        val number = submit()
+        submit()
         pass(2_000)
         results.single().shouldBeInstanceOf<JobResult.Abandoned>()
-        entry.ended(number, JobResult.Complete)
+        entry.ended(sent.last().second.number, JobResult.Complete)
         results.size shouldBe 1
     }
 }
