Tell an owner that a job is taken from, so that it does not go on with it

The entry had lost sight of the old owner and sent the job to the next one, but the old owner still saw the entry and started the job from its queue. Ruled out: late orders (none at that time), entries that had lapsed (the backend servers were listed). The entry now cancels the job at the old owner, and tells on each new connection which requests it still has there. Two tests, the first of which failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -195,6 +195,15 @@
         }
     }
 
+    /** Withdraws the jobs of [instance] that are not among its [requests]: it has given them to another owner. */
+    public fun retain(instance: String, requests: Set<Long>) {
+        val left = tables.jobs.values.flatMap { job ->
+            job.origins.filter { it.instance == instance }.map { job to it }
+        }
+            .filter { (_, origin) -> origin.request !in requests }
+        left.forEach { (job, origin) -> cancel(job.request.id, origin, "instance $instance has no such request") }
+    }
+
     public fun startAnswered(order: StartOrder, result: StartResult) {
         replies.startAnswered(order, result, nowMs())
         placement.run(nowMs())
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -169,6 +169,9 @@
         reroute(entry)
     }
 
+    /** Numbers of the requests that [owner] has from this instance. */
+    internal fun openAt(owner: String): List<Long> = pending.values.filter { it.owner == owner }.map { it.number }
+
     /** Messages on earlier connections to [owner] may be lost. */
     internal fun reconnected(owner: String) {
         for (entry in pending.values.filter { it.owner == owner }) {
@@ -184,6 +187,8 @@
             "entry", "job-rerouted", "request", entry.requestId, "job", entry.request.id,
             "from", entry.owner, "to", owner, "afterMs", nowMs() - entry.arrivedAtMs,
         )
+        // An owner out of sight may still see this instance, and would go on with the job.
+        entry.owner?.takeIf { it != owner }?.let { link.cancel(it, PeerMessage.Cancel(entry.number, entry.request.id)) }
         send(entry, owner)
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -336,6 +336,8 @@
 
                 is PeerMessage.Cancel -> cancelled(peer.instance, message)
 
+                is PeerMessage.OpenRequests -> dispatcher.retain(peer.instance, message.numbers.toSet())
+
                 is PeerMessage.Ended -> entry.ended(message.number, message.result)
 
                 is PeerMessage.Moved -> entry.moved(message.number, message.progress)
@@ -368,6 +370,7 @@
         override fun connected(peer: PeerMember) {
             network.send(peer.instance, PeerMessage.Members(network.members() + self))
             if (dispatcher.ownedDomains.isNotEmpty()) network.send(peer.instance, PeerMessage.Backends(backends))
+            network.send(peer.instance, PeerMessage.OpenRequests(entry.openAt(peer.instance)))
             entry.reconnected(peer.instance)
         }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -46,6 +46,11 @@
     @SerialName("cancel")
     public data class Cancel(val number: Long, val job: JobId, val everyone: Boolean = false) : PeerMessage
 
+    /** All requests of the sender that the receiver should have; sent when a connection opens. */
+    @Serializable
+    @SerialName("open")
+    public data class OpenRequests(val numbers: List<Long>) : PeerMessage
+
     /** Result of a job. */
     @Serializable
     @SerialName("ended")
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -135,6 +135,20 @@
         world.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /** Fails if a job goes on here that its entry has given to another owner while the connection was broken. */
+    @Test
+    fun `jobs that an instance no longer has here are withdrawn`() {
+        val world = world()
+        world.workMs = { 500 }
+        listOf("kept", "given").forEach { world.submit(world.job(it, tasks = 1, estimateMs = 500)) }
+        world.run(untilMs = 150)
+        world.dispatcher.retain("i1", setOf("kept".hashCode().toLong()))
+        world.run(untilMs = 1_000)
+        world.results[JobId("kept")] shouldBe JobResult.Complete
+        world.results.containsKey(JobId("given")) shouldBe false
+        world.backends.values.flatMap { it.running.keys }.shouldBeEmpty()
+    }
+
     @Test
     fun `runs that no job accounts for are stopped`() {
         val world = world()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -12,6 +12,7 @@
 class EntryServiceTest {
     private val clock = TestTimeSource()
     private val sent = ArrayList<Pair<String, PeerMessage.Submit>>()
+    private val cancelled = ArrayList<Pair<String, Long>>()
     private val results = ArrayList<JobResult>()
     private val owners = linkedSetOf("a")
     private val alive = hashSetOf("a", "b")
@@ -29,7 +30,9 @@
             sent += owner to message
         }
 
-        override fun cancel(owner: String, message: PeerMessage.Cancel) = Unit
+        override fun cancel(owner: String, message: PeerMessage.Cancel) {
+            cancelled += owner to message.number
+        }
     }
     private val entry = EntryService(clock, link) { _, _, _ -> }
     private val job = JobRequest(JobId("j"), QueueId("q"), "p", listOf(StepRequest(1, Resources(1))))
@@ -69,6 +72,20 @@
         entry.cancel(handle)
     }
 
+    /**
+     * Seen at the heal of a partition: an entry lost sight of the owner, which still saw the entry and started the job
+     * 1.1 s after another owner had taken it, and both ran it.
+     */
+    @Test
+    fun `an owner that a job is taken from is told`() {
+        submit()
+        alive -= "a"
+        owners.clear()
+        owners += "b"
+        pass(50)
+        cancelled shouldContainExactly listOf("a" to sent[0].second.number)
+    }
+
     /** Fails if a caller is told that a job never ran that an owner out of sight may have started. */
     @Test
     fun `a refusal after a first owner was lost is not passed on as not run`() {
