--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendOrders.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendOrders.kt
@@ -116,7 +116,4 @@
     public fun stop(order: StopOrder, onAcknowledged: (Boolean) -> Unit)
 
     public fun look(order: LookOrder, onResult: (LookResult) -> Unit)
-
-    /** Closes the connections to a backend server that is not ordered any more. */
-    public fun release(backend: BackendInfo)
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -78,7 +78,6 @@
 
     /** Whether each failure domain has an owner of its own, for deployments that are too large for one. */
     public var isSpread: Boolean = false
-    private var storeFailures = 0
 
     /** Tokens of the owned failure domains. */
     public val owned: Map<String, Long>
@@ -120,7 +119,7 @@
         }
     }
 
-    /** After a partition, the owner of fewer failure domains gives them up to the other. */
+    /** Gives up what another instance should own: the strongest, or, after a partition, the owner of the most. */
     private fun yieldToBetterOwner(openJobs: Int) {
         val better = betterOwners()
         if (better.isEmpty()) {
@@ -217,11 +216,9 @@
         store.readOwners { owners ->
             storeCallInFlight = false
             if (owners != null) {
-                storeFailures = 0
                 note(owners)
                 claimByStore()
             } else {
-                storeFailures++
                 claimByQuorum(since)
             }
             nextStoreCallMs = nowMs() + settings.retryMs
