--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -221,8 +221,11 @@
     }
 
     private fun adopt(row: BackendRow, found: UnknownRun, task: TaskRow, nowMs: Long) {
-        val isOpen = task.state == TaskState.QUEUED || task.state == TaskState.BLOCKED
+        // Its backend server was not listed for a while and is back before the lease has lapsed.
+        val isOwnOrphan = task.isOrphan && task.state == TaskState.UNCERTAIN && task.run == found.run
+        val isOpen = task.state == TaskState.QUEUED || task.state == TaskState.BLOCKED || isOwnOrphan
         if (!isOpen || found.stopSentAtMs != NEVER_MS) return
+        task.isOrphan = false
         row.unknownRuns.remove(task.key)
         if (task.state == TaskState.QUEUED) task.job.queuedTasks--
         row.occupy(task)
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -109,6 +109,23 @@
         world.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /** Seen after a partition: the entry of a backend server came back within the lease of its runs. */
+    @Test
+    fun `a run on a backend server that is listed again is taken up`() {
+        val world = world()
+        world.workMs = { 3_000 }
+        world.submit(world.job("j", tasks = 4, estimateMs = 3_000), timeoutMs = 20_000)
+        world.run(untilMs = 300)
+        val lapsed = world.backends.values.first { it.running.isNotEmpty() }
+        world.dispatcher.listBackends(world.backends.values.filter { it !== lapsed }.map { it.info })
+        world.run(world.nowMs + 600)
+        world.listAll()
+        world.run(untilMs = 10_000)
+        world.doubleRuns.shouldBeEmpty()
+        world.starts shouldBe 4
+        world.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
     /** Fails if a planned handover costs the jobs the wait for unknown runs. */
     @Test
     fun `tasks that a previous owner has not ordered start at once`() {
