--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -12,9 +12,8 @@
     private val tables: DispatchTables,
     private val actions: DispatchActions,
     private val settling: SettlingSystem,
-    private val log: EventLog,
+    private val health: BackendHealthSystem,
 ) {
-    private val health = BackendHealthSystem(settings, tables, log)
     private val usable = ArrayList<BackendRow>()
     private var blockedDemand: Resources? = null
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -4,24 +4,6 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.TimeSource
 
-/**
- * Settings of a [FleetInstance].
- *
- * @property failureDomains all failure domains of the deployment.
- * @property spreadFrom from so many instances on, each failure domain has an owner of its own: one machine orders about
- *   700 starts a second.
- * @property seeds addresses where peers may be found while the store can't be reached.
- */
-public data class FleetSettings(
-    val self: PeerMember,
-    val failureDomains: List<String>,
-    val seeds: List<Pair<String, Int>>,
-    val ownership: OwnershipSettings,
-    val dispatch: DispatchSettings = DispatchSettings(),
-    val network: PeerNetworkSettings = PeerNetworkSettings(),
-    val spreadFrom: Int = 16,
-)
-
 /**
  * One instance: takes jobs of its callers, and orders the backend servers of the failure domains that it owns for all
  * instances.
@@ -54,9 +36,10 @@
     private val lostOrigins = HashSet<String>()
     private var backends: List<BackendInfo> = emptyList()
     private var leaving = false
+    private val link = Link()
 
     /** Requests of this instance's callers. */
-    public val entry: EntryService = EntryService(clock, Link(), log)
+    public val entry: EntryService = EntryService(clock, link, log)
 
     /** The configuration in force; null before the first is known. */
     public var configuration: DispatchConfiguration? = null
@@ -67,7 +50,7 @@
 
     /** Whether a job submitted now would be taken. */
     public val isReady: Boolean
-        get() = !leaving && configuration != null && Link().ownerOrNull() != null &&
+        get() = !leaving && configuration != null && link.ownerOrNull() != null &&
             (dispatcher.ownedDomains.isEmpty() || dispatcher.hasBackend)
 
     /** Starts listening to peers, then joins the others. */
@@ -182,7 +165,7 @@
     /** Cancels [job] wherever it runs. Returns whether it was open here or was passed on to the owner. */
     public fun cancel(job: JobId): Boolean {
         if (dispatcher.cancelForAll(job)) return true
-        val owner = Link().ownerOrNull() ?: return false
+        val owner = link.ownerOrNull() ?: return false
         if (owner != self.instance) network.send(owner, PeerMessage.Cancel(0, job, everyone = true))
         return owner != self.instance
     }
@@ -393,31 +376,3 @@
         const val CONTACT_MS = 1_000L
     }
 }
-
-/** Results of the last seconds, for an instance whose connection broke before it got one. Bounded. */
-internal class RecentResults(clock: TimeSource.WithComparableMarks) {
-    private class Recorded(val result: JobResult, val atMs: Long)
-
-    private val origin = clock.markNow()
-    private val results = LinkedHashMap<JobOrigin, Recorded>()
-
-    fun record(request: JobOrigin, result: JobResult) {
-        val nowMs = origin.elapsedNow().inWholeMilliseconds
-        results[request] = Recorded(result, nowMs)
-        val oldest = results.entries.iterator()
-        while (oldest.hasNext()) {
-            val isDue = results.size > MOST || nowMs - oldest.next().value.atMs > KEPT_MS
-            if (!isDue) return
-            oldest.remove()
-        }
-    }
-
-    fun find(request: JobOrigin): JobResult? = results[request]?.result
-
-    private companion object {
-        const val MOST = 10_000
-
-        /** A broken connection between instances is replaced within a second. */
-        const val KEPT_MS = 3_000L
-    }
-}
