Trust a look over an older list about the process of a backend server

Cause: a backend server that crashed and came back was first seen by a look. The next list still named the former process, so the new one was taken for replaced and its runs were started again elsewhere beside the living ones. Also, a process whose start time was earlier than the former's was ignored until the list named it.

Ruled out: late start orders (the runs had been confirmed), leases (both servers were in sight).

Processes that are known to have ended are kept by their incarnation; a list that names one is older than what is known. Two tests, both failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -93,7 +93,7 @@
 
     private fun seen(row: BackendRow, view: LookResult.Seen, nowMs: Long) {
         if (row.info.incarnation != 0L && view.incarnation != row.info.incarnation) {
-            if (view.incarnation < row.info.incarnation) return
+            if (view.incarnation in row.formerIncarnations) return
             replaced(row, "incarnation ${view.incarnation} after ${row.info.incarnation}", nowMs)
         }
         row.info = row.info.copy(incarnation = view.incarnation)
@@ -272,6 +272,7 @@
     /** A new process has the backend server's name: it holds nothing of before. */
     fun replaced(row: BackendRow, reason: String, nowMs: Long) {
         log.event("backend", "replaced", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
+        if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
         row.tasks.values.toList().forEach(::requeue)
         row.unknownRuns.clear()
         row.unknownDone.clear()
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -130,6 +130,9 @@
     var free = info.capacity
     var acknowledgedEnd = 0L
 
+    /** Processes that have ended. The list of backend servers may still name one after a look has shown the next. */
+    val formerIncarnations = HashSet<Long>()
+
     /** The backend server's clock minus the dispatcher's, as of the last response; null before the first. */
     var clockOffsetMs: Long? = null
     var seenAtMs = NEVER_MS
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -82,6 +82,7 @@
             tables.backends[info.id] = BackendRow(info)
             return
         }
+        if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
         if (!info.isSameProcess(row.info)) {
             replies.replaced(row, "listed with another process", nowMs)
             row.info = info
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -126,6 +126,47 @@
         world.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /** Seen in the fault soak: the list named the process that a look had shown to be gone; its runs were given up. */
+    @Test
+    fun `a list that is older than a look does not replace a backend server`() {
+        val world = world(backends = 2)
+        val listedBefore = world.backends.mapValues { it.value.info }
+        listedBefore.keys.forEach(world::crash)
+        world.run(untilMs = 600)
+        world.workMs = { 400 }
+        val request = world.job("j", tasks = 6, cpuMillis = 4_000, estimateMs = 400)
+        world.submit(request, timeoutMs = 5_000)
+        world.run(world.nowMs + 100)
+        val busiest = world.backends.values.maxBy { it.running.size }.info.id
+        val listed = world.backends.values.map {
+            if (it.info.id ==
+                busiest
+            ) {
+                listedBefore.getValue(busiest)
+            } else {
+                it.info
+            }
+        }
+        world.dispatcher.listBackends(listed)
+        world.run(world.nowMs + 2_000)
+        world.doubleRuns.shouldBeEmpty()
+        world.starts shouldBe 6
+        world.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
+    /** The clock of a machine may be set back between two processes. */
+    @Test
+    fun `a process that started at an earlier time of day is the new one`() {
+        val world = world(backends = 1)
+        world.crash("b0")
+        val back = world.backends.getValue("b0")
+        world.backends["b0"] = world.Backend(back.info.copy(incarnation = 0L - 5), 1.0)
+        world.run(untilMs = 600)
+        world.submit(world.job("j", tasks = 2))
+        world.run(world.nowMs + 500)
+        world.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
     /** Fails if a planned handover costs the jobs the wait for unknown runs. */
     @Test
     fun `tasks that a previous owner has not ordered start at once`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -53,6 +53,7 @@
         /** It answers nothing, but goes on. */
         var cutOff = false
         var hung = false
+        var crashed = false
         private var waiting: (() -> Unit)? = null
         private val highestRuns = HashMap<TaskKey, Int>()
 
@@ -62,9 +63,10 @@
             order.leaseUntilMs?.let { leaseUntilMs = maxOf(leaseUntilMs, minOf(it, nowMs + MAX_LEASE_MS)) }
             ended.removeIf { it.number <= order.acknowledgedEnd }
             var responded = false
-            val answer = {
+            val answer = answer@{
                 if (!responded) {
                     responded = true
+                    if (crashed) return@answer respond(LookResult.Failed("connection closed"))
                     respond(LookResult.Seen(nowMs, info.incarnation, running.map(::seenRun), ended.toList()))
                 }
             }
@@ -121,6 +123,14 @@
         return Backend(info, speed).also { backends[id] = it }
     }
 
+    /** The backend server loses all that runs and comes back at once as another process. */
+    fun crash(id: String) {
+        val old = backends.getValue(id)
+        old.crashed = true
+        old.running.clear()
+        backends[id] = Backend(old.info.copy(incarnation = old.info.incarnation + 1), old.speed)
+    }
+
     fun listAll() = dispatcher.listBackends(backends.values.map { it.info })
 
     /** Owns all failure domains with [token] and lists all backend servers. */
