Send fewer heartbeats in large deployments, and tick only while there is something to order

An instance that owns nothing beats each 200 ms where not all peers are watched, and at once with news; a heartbeat says when the next one comes, so that its silence is judged by it. The silence of an owner still counts after 400 ms.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -1,6 +1,7 @@
 package medlarroute.dispatch
 
 import io.netty.channel.EventLoopGroup
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import kotlin.time.TimeSource
 
@@ -36,6 +37,7 @@
     private val lostOrigins = HashSet<String>()
     private var backends: List<BackendInfo> = emptyList()
     private var leaving = false
+    private var dispatchTicks: Future<*>? = null
     private val link = Link()
 
     /** Requests of this instance's callers. */
@@ -64,10 +66,20 @@
         }
         every(settings.network.beatMs) { network.tick() }
         every(OWNERSHIP_TICK_MS) { ownershipTick() }
-        every(DISPATCH_TICK_MS) { if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.tick() }
     }
 
-    private fun every(periodMs: Long, action: () -> Unit) {
+    /** Ticks only while there is something to order, since each timer of each instance costs a wake-up. */
+    private fun scheduleDispatch() {
+        val ticks = dispatchTicks
+        if (dispatcher.ownedDomains.isEmpty()) {
+            ticks?.cancel(false)
+            dispatchTicks = null
+        } else if (ticks == null) {
+            dispatchTicks = every(DISPATCH_TICK_MS) { dispatcher.tick() }
+        }
+    }
+
+    private fun every(periodMs: Long, action: () -> Unit): Future<*> {
         val guarded = Runnable {
             try {
                 action()
@@ -75,7 +87,7 @@
                 log.event("instance", "tick-failed", "error", e.toString(), "at", e.stackTrace.firstOrNull())
             }
         }
-        group.next().scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS)
+        return group.next().scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS)
     }
 
     private fun register() {
@@ -115,9 +127,10 @@
 
     private fun ownershipTick() {
         ownership.isSpread = network.members().size >= settings.spreadFrom
-        ownership.tick(network.views(), dispatcher.openJobs) { dispatcher.isInContact(it, CONTACT_MS) }
-        store.watchBackends(shouldWatchBackends(), ::backendsListed)
-        for (peer in network.views()) {
+        val peers = network.views()
+        ownership.tick(peers, dispatcher.openJobs) { dispatcher.isInContact(it, CONTACT_MS) }
+        store.watchBackends(shouldWatchBackends(peers), ::backendsListed)
+        for (peer in peers) {
             if (peer.life == PeerLife.ALIVE) {
                 lostOrigins -= peer.member.instance
             } else if (lostOrigins.add(peer.member.instance)) {
@@ -130,9 +143,9 @@
     }
 
     /** Owners watch the list of backend servers; if the store turns one away, the most senior other watches for it. */
-    private fun shouldWatchBackends(): Boolean {
+    private fun shouldWatchBackends(peers: List<PeerView>): Boolean {
         if (dispatcher.ownedDomains.isNotEmpty()) return true
-        val alive = network.views().filter { it.life == PeerLife.ALIVE }
+        val alive = peers.filter { it.life == PeerLife.ALIVE }
         val needsHelp = alive.any {
             it.owned.isNotEmpty() && network.beatOf(it.member.instance)?.storeReachable == false
         }
@@ -176,7 +189,7 @@
         leaving = true
         log.event("instance", "leaving", "openRequests", entry.openRequests, "openJobs", dispatcher.openJobs)
         ownership.leave()
-        network.broadcast(beat())
+        network.beatNow()
     }
 
     private fun beat() =
@@ -193,8 +206,9 @@
         override fun owned(failureDomain: String, token: Long) {
             dispatcher.own(failureDomain, token)
             dispatcher.listBackends(backends)
-            network.broadcast(beat())
+            network.beatNow()
             dispatcher.tick()
+            scheduleDispatch()
         }
 
         override fun disowned(failureDomain: String) {
@@ -202,11 +216,12 @@
             if (isLast) {
                 val moved = dispatcher.handOver()
                 dispatcher.disown(failureDomain)
-                network.broadcast(beat())
+                network.beatNow()
                 moved.forEach { (origin, job, progress) -> tellMoved(origin, job, progress) }
             } else {
                 dispatcher.disown(failureDomain)
             }
+            scheduleDispatch()
         }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -18,6 +18,7 @@
      * @property released tokens of the failure domains that the sender has given up to whoever comes next.
      * @property loadPercent demand of running and waiting tasks, as a part of the room that the sender orders.
      * @property storeReachable whether the platform's store answers the sender.
+     * @property intervalMs time until the sender's next heartbeat, in milliseconds.
      */
     @Serializable
     @SerialName("beat")
@@ -28,6 +29,7 @@
         val loadPercent: Int = 0,
         val storeReachable: Boolean = true,
         val leaving: Boolean = false,
+        val intervalMs: Long = 100,
     ) : PeerMessage
 
     /** Asks an owner to run a job. Answered by one [Ended] or [Moved] with the same [number]. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -63,6 +63,8 @@
     private val origin = clock.markNow()
     private val peers = HashMap<String, Peer>()
     private var server: Channel? = null
+    private var sentBeat = PeerMessage.Beat()
+    private var sentBeatAtMs = NEVER_MS
 
     private fun nowMs() = origin.elapsedNow().inWholeMilliseconds
 
@@ -127,10 +129,33 @@
         encoded.release()
     }
 
-    /** Sends heartbeats, opens missing connections, replaces silent ones. Called every heartbeat interval. */
+    /** Sends a heartbeat to all peers now. */
+    public fun beatNow() {
+        sentBeat = beat()
+        sentBeatAtMs = nowMs()
+        broadcast(sentBeat)
+    }
+
+    /**
+     * The heartbeat to send. In a large deployment an instance that owns nothing beats less often: the silence of an
+     * owner holds up jobs, that of another instance only the withdrawal of its own.
+     */
+    private fun beat(): PeerMessage.Beat {
+        val beat = listener.beat()
+        val isFollower = beat.owned.isEmpty() && peers.size > settings.fullMeshSize
+        return beat.copy(intervalMs = if (isFollower) settings.followerBeatMs else settings.beatMs)
+    }
+
+    private fun isBeatDue(nowMs: Long): Boolean {
+        val next = beat()
+        val isNews = next.copy(loadPercent = sentBeat.loadPercent) != sentBeat
+        return isNews || nowMs - sentBeatAtMs > next.intervalMs - settings.beatMs
+    }
+
+    /** Sends due heartbeats and looks after connections. Called each [PeerNetworkSettings.beatMs]. */
     public fun tick() {
         val nowMs = nowMs()
-        broadcast(listener.beat())
+        if (isBeatDue(nowMs)) beatNow()
         val watched = watched()
         for (peer in peers.values.toList()) {
             updateLife(peer, nowMs)
@@ -141,7 +166,7 @@
 
     private fun updateLife(peer: Peer, nowMs: Long) {
         val life = when {
-            nowMs - peer.heardAtMs <= settings.silentMs -> PeerLife.ALIVE
+            nowMs - peer.heardAtMs <= settings.silentMs(peer.beat.intervalMs) -> PeerLife.ALIVE
             peer.refused -> PeerLife.DEAD
             else -> PeerLife.SILENT
         }
@@ -155,7 +180,8 @@
 
     private fun needsDial(peer: Peer, nowMs: Long): Boolean {
         if (peer.dialing && nowMs - peer.dialedAtMs < settings.connectTimeoutMs) return false
-        if (nowMs - peer.heardAtMs <= settings.redialAfterMs && peer.channel != null) return false
+        val redialAfterMs = settings.redialAfterMs(peer.beat.intervalMs)
+        if (nowMs - peer.heardAtMs <= redialAfterMs && peer.channel != null) return false
         val isJunior = self().number > peer.member.number
         val pauseMs = if (isJunior || peer.channel != null) settings.redialPauseMs else settings.redialPauseMs * 2
         return nowMs - peer.dialedAtMs >= pauseMs
@@ -214,7 +240,7 @@
 
         override fun channelActive(context: ChannelHandlerContext) {
             context.writeAndFlush(encode(PeerMessage.Hello(self())))
-            context.writeAndFlush(encode(listener.beat()))
+            context.writeAndFlush(encode(beat()))
         }
 
         override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) {
@@ -290,6 +316,8 @@
  * Times of [PeerNetwork] in milliseconds, and how many peers an instance keeps connections to.
  *
  * @property beatMs heartbeat interval.
+ * @property followerBeatMs heartbeat interval of instances that own nothing, where not all peers are watched. Most
+ *   messages of a large deployment are heartbeats.
  * @property redialAfterMs silence after which a new connection is tried: more than two heartbeats.
  * @property silentMs silence after which a peer no longer counts as alive; leaves a new connection time to be heard.
  * @property fullMeshSize up to so many peers are all watched. Above, only the most senior and the owners are, so that
@@ -297,6 +325,7 @@
  */
 public data class PeerNetworkSettings(
     val beatMs: Long = 100,
+    val followerBeatMs: Long = 200,
     val redialAfterMs: Long = 250,
     val silentMs: Long = 400,
     val redialPauseMs: Long = 200,
@@ -304,4 +333,10 @@
     val fullMeshSize: Int = 12,
     val watchedPreferred: Int = 3,
     val watchedInDomain: Int = 2,
-)
+) {
+    /** Silence after which a peer that beats each [intervalMs] no longer counts as alive. */
+    internal fun silentMs(intervalMs: Long): Long = silentMs + 2 * (intervalMs - beatMs)
+
+    /** Silence after which a new connection to a peer that beats each [intervalMs] is tried. */
+    internal fun redialAfterMs(intervalMs: Long): Long = redialAfterMs + intervalMs - beatMs
+}
