Give an instance no result of its former life's jobs

Cause: an instance that starts again numbers its requests from the beginning. The owner kept the results of the last seconds by instance and number only, so a new job with an old number was answered at once with the former job's result, as complete although no task had run. Results of an owner that arrive late had the same flaw at the entry.

Ruled out: adoption of runs and good ends (they go by the job's id).

Results are kept with their job and compared at both places.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -130,8 +130,11 @@
         link.submit(owner, message)
     }
 
-    internal fun ended(number: Long, result: JobResult) {
-        val entry = byNumber[number] ?: return
+    /** The request that [number] names. A former life of this instance may have used the number for another job. */
+    private fun find(number: Long, job: JobId): Pending? = byNumber[number]?.takeIf { it.request.id == job }
+
+    internal fun ended(number: Long, job: JobId, result: JobResult) {
+        val entry = find(number, job) ?: return
         val other = if (isOverload(result) && !entry.overflowed &&
             !entry.mayHaveRun
         ) {
@@ -158,8 +161,8 @@
 
     private fun isOverload(result: JobResult) = result is JobResult.NotRun && result.code == NotRunCode.OVERLOAD
 
-    internal fun moved(number: Long, progress: JobProgress) {
-        val entry = byNumber[number] ?: return
+    internal fun moved(number: Long, job: JobId, progress: JobProgress) {
+        val entry = find(number, job) ?: return
         log.event(
             "entry", "job-moved", "request", entry.requestId, "job", entry.request.id,
             "from", entry.owner, "done", progress.done.size,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -227,7 +227,7 @@
 
     private fun tellMoved(origin: JobOrigin, job: JobId, progress: JobProgress) {
         if (origin.instance == self.instance) {
-            entry.moved(origin.request, progress)
+            entry.moved(origin.request, job, progress)
         } else {
             network.send(origin.instance, PeerMessage.Moved(origin.request, job, progress))
         }
@@ -254,8 +254,8 @@
         override fun look(order: LookOrder, number: Long) = orders.look(order) { dispatcher.looked(order, number, it) }
 
         override fun ended(origin: JobOrigin, job: JobId, result: JobResult) {
-            if (origin.instance == self.instance) return entry.ended(origin.request, result)
-            results.record(origin, result)
+            if (origin.instance == self.instance) return entry.ended(origin.request, job, result)
+            results.record(origin, job, result)
             network.send(origin.instance, PeerMessage.Ended(origin.request, job, result))
         }
 
@@ -307,7 +307,7 @@
 
     private fun submitted(instance: String, message: PeerMessage.Submit) {
         val origin = JobOrigin(instance, message.number)
-        val recorded = results.find(origin)
+        val recorded = results.find(origin, message.job.id)
         when {
             recorded != null -> network.send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
             dispatcher.ownedDomains.isEmpty() -> tellMoved(origin, message.job.id, message.progress ?: JobProgress())
@@ -336,9 +336,9 @@
 
                 is PeerMessage.OpenRequests -> dispatcher.retain(peer.instance, message.numbers.toSet())
 
-                is PeerMessage.Ended -> entry.ended(message.number, message.result)
+                is PeerMessage.Ended -> entry.ended(message.number, message.job, message.result)
 
-                is PeerMessage.Moved -> entry.moved(message.number, message.progress)
+                is PeerMessage.Moved -> entry.moved(message.number, message.job, message.progress)
 
                 is PeerMessage.Configuration -> configured(message.configuration)
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RecentResults.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RecentResults.kt
@@ -2,16 +2,20 @@
 
 import kotlin.time.TimeSource
 
-/** Results of the last seconds, for an instance whose connection broke before it got one. Bounded. */
+/**
+ * Results of the last seconds, for an instance whose connection broke before it got one. Bounded.
+ *
+ * A result is kept with its job, since an instance that starts again numbers its requests from the beginning.
+ */
 internal class RecentResults(clock: TimeSource.WithComparableMarks) {
-    private class Recorded(val result: JobResult, val atMs: Long)
+    private class Recorded(val job: JobId, val result: JobResult, val atMs: Long)
 
     private val origin = clock.markNow()
     private val results = LinkedHashMap<JobOrigin, Recorded>()
 
-    fun record(request: JobOrigin, result: JobResult) {
+    fun record(request: JobOrigin, job: JobId, result: JobResult) {
         val nowMs = origin.elapsedNow().inWholeMilliseconds
-        results[request] = Recorded(result, nowMs)
+        results[request] = Recorded(job, result, nowMs)
         val oldest = results.entries.iterator()
         while (oldest.hasNext()) {
             val isDue = results.size > MOST || nowMs - oldest.next().value.atMs > KEPT_MS
@@ -20,7 +24,7 @@
         }
     }
 
-    fun find(request: JobOrigin): JobResult? = results[request]?.result
+    fun find(request: JobOrigin, job: JobId): JobResult? = results[request]?.takeIf { it.job == job }?.result
 
     private companion object {
         const val MOST = 10_000
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -50,10 +50,10 @@
     fun `a job that its owner refuses goes to one with room, once`() {
         lessLoaded = "b"
         submit()
-        entry.ended(sent.last().second.number, overload)
+        entry.ended(sent.last().second.number, sent.last().second.job.id, overload)
         sent.map { it.first } shouldContainExactly listOf("a", "b")
         sent.last().second.progress.shouldBeNull()
-        entry.ended(sent.last().second.number, overload)
+        entry.ended(sent.last().second.number, sent.last().second.job.id, overload)
         results shouldContainExactly listOf(overload)
     }
 
@@ -62,12 +62,12 @@
     fun `a job that comes back to the owner that refused it has a new number there`() {
         lessLoaded = "b"
         val handle = submit()
-        entry.ended(sent.last().second.number, overload)
+        entry.ended(sent.last().second.number, sent.last().second.job.id, overload)
         alive -= "b"
         pass(50)
         sent.map { it.first } shouldContainExactly listOf("a", "b", "a")
         (sent[2].second.number == sent[0].second.number) shouldBe false
-        entry.ended(sent[0].second.number, overload)
+        entry.ended(sent[0].second.number, sent[0].second.job.id, overload)
         results.size shouldBe 0
         entry.cancel(handle)
     }
@@ -94,7 +94,7 @@
         owners.clear()
         owners += "b"
         pass(50)
-        entry.ended(sent.last().second.number, overload)
+        entry.ended(sent.last().second.number, sent.last().second.job.id, overload)
         results.single().shouldBeInstanceOf<JobResult.Abandoned>()
     }
 
@@ -113,7 +113,7 @@
         owners += "b"
         pass(100)
         val progress = JobProgress(done = listOf(TaskKey(JobId("j"), 0, 0)), ordered = emptyList())
-        entry.moved(sent.last().second.number, progress)
+        entry.moved(sent.last().second.number, sent.last().second.job.id, progress)
         sent.last() shouldBe ("b" to sent.last().second)
         sent.last().second.progress shouldBe progress
     }
@@ -135,7 +135,19 @@
         submit()
         pass(2_000)
         results.single().shouldBeInstanceOf<JobResult.Abandoned>()
-        entry.ended(sent.last().second.number, JobResult.Complete)
+        entry.ended(sent.last().second.number, sent.last().second.job.id, JobResult.Complete)
         results.size shouldBe 1
     }
+
+    /** Seen in a hunt: an instance that had started again took the result of its former life's job for another job. */
+    @Test
+    fun `a result for another job with the same number is ignored`() {
+        submit()
+        entry.ended(sent.last().second.number, JobId("former"), JobResult.Complete)
+        entry.moved(sent.last().second.number, JobId("former"), JobProgress())
+        results.size shouldBe 0
+        sent.size shouldBe 1
+        entry.ended(sent.last().second.number, sent.last().second.job.id, JobResult.Complete)
+        results shouldContainExactly listOf(JobResult.Complete)
+    }
 }
