Serve repeated code in dispatch and platform from one place

The probation rule stood in the health and in the placement: BackendRow.isBeingProbed; the placement's second look at the hold could not differ from the first. - The backend servers of a failure domain, the jobs of an instance and the withdrawal of a job were each written two or three times. - A due heartbeat was made twice a tick, with a sum over all backend servers each time. - Removed, since nothing used them: Dispatcher.isStarted, the configuration callback of FleetInstance, TableWatch.isRunning.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -30,9 +30,8 @@
     }
 
     fun isUsable(row: BackendRow, nowMs: Long): Boolean =
-        !row.info.draining && !row.isUnreachable && row.seenAtMs != NEVER_MS && row.clockOffsetMs != null &&
-            row.ejectedUntilMs <= nowMs && row.heldUntilMs <= nowMs && row.unknownRuns.isEmpty() &&
-            !(row.isProbation && row.tasks.isNotEmpty())
+        row.isServing(nowMs) && row.seenAtMs != NEVER_MS && row.clockOffsetMs != null &&
+            row.heldUntilMs <= nowMs && row.unknownRuns.isEmpty() && !row.isBeingProbed
 
     companion object {
         /** A task may fail by itself; two in a row are rarely chance at the usual share of 0.2% failing tasks. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -97,9 +97,7 @@
     /** Work that the backend servers of [service] do per millisecond, in thousandths of core-milliseconds. */
     private fun workRate(service: ServiceId, nowMs: Long): Double =
         tables.backends.values
-            .filter {
-                it.info.service == service && !it.info.draining && !it.isUnreachable && it.ejectedUntilMs <= nowMs
-            }
+            .filter { it.info.service == service && it.isServing(nowMs) }
             .sumOf { it.info.capacity.cpuMillis * it.speed * PACKING }
 
     private fun isServedBefore(other: JobRow, job: JobRow): Boolean =
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -83,7 +83,7 @@
         var fastest: BackendRow? = null
         var fastestMs = Double.MAX_VALUE
         for (row in usable) {
-            if (!mayRun(task, row, nowMs)) continue
+            if (!mayRun(task, row)) continue
             val runMs = estimateMs / row.speed * rackFactor(task.step, row.info)
             // While the job can still end in time elsewhere, a backend server that makes it late is left to others.
             if (runMs > allowedMs && estimateMs <= allowedMs) continue
@@ -101,10 +101,10 @@
         return slowest ?: fastest
     }
 
-    private fun mayRun(task: TaskRow, row: BackendRow, nowMs: Long): Boolean {
+    private fun mayRun(task: TaskRow, row: BackendRow): Boolean {
         val step = task.step
-        val isServing = row.info.service == task.job.queue.service && row.heldUntilMs <= nowMs &&
-            !(row.isProbation && row.tasks.isNotEmpty())
+        // Tasks that were placed earlier in this pass may have taken it.
+        val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed
         val hasLabel = step.requiredLabel == null || step.requiredLabel in row.info.labels
         if (!isServing || !hasLabel || !step.demand.fitsInto(row.free)) return false
         return row !in task.failedOn && isBelowLimit(task, row)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -158,6 +158,12 @@
     val isUnreachable: Boolean get() = unreachableSinceMs != NEVER_MS
     val isProbation: Boolean get() = ejections > 0
 
+    /** After an ejection one task at a time shows whether it works again. */
+    val isBeingProbed: Boolean get() = isProbation && tasks.isNotEmpty()
+
+    /** Whether it counts as capacity. */
+    fun isServing(nowMs: Long): Boolean = !info.draining && !isUnreachable && ejectedUntilMs <= nowMs
+
     fun occupy(task: TaskRow) {
         tasks[task.key] = task
         task.backend = this
@@ -194,6 +200,9 @@
     var configuration: DispatchConfiguration? = null
     var waitingIsDirty = false
 
+    fun backendsIn(failureDomain: String): List<BackendRow> =
+        backends.values.filter { it.info.failureDomain == failureDomain }
+
     fun token(backend: BackendRow): Long? = tokens[backend.info.failureDomain]
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -14,7 +14,7 @@
     private val actions: DispatchActions,
     private val log: EventLog,
 ) {
-    private val origin = clock.markNow()
+    private val elapsed = ElapsedClock(clock)
     private val tables = DispatchTables()
     private val ends = JobEndSystem(tables, actions, log)
     private val settling = SettlingSystem(settings, tables)
@@ -25,20 +25,17 @@
     private val looks = LookSystem(settings, tables, actions)
 
     /** Milliseconds since the dispatcher was created. */
-    public fun nowMs(): Long = origin.elapsedNow().inWholeMilliseconds
+    public fun nowMs(): Long = elapsed.nowMs()
 
     public val openJobs: Int get() = tables.jobs.size
 
     /** Demand of running and waiting tasks, as a part of the room of usable backend servers. */
     public fun loadPercent(): Int {
         val nowMs = nowMs()
-        val usable = tables.backends.values.filter {
-            !it.info.draining && !it.isUnreachable &&
-                it.ejectedUntilMs <= nowMs
-        }
-        val roomMillis = usable.sumOf { it.info.capacity.cpuMillis.toLong() }
+        val serving = tables.backends.values.filter { it.isServing(nowMs) }
+        val roomMillis = serving.sumOf { it.info.capacity.cpuMillis.toLong() }
         if (roomMillis == 0L) return FULL_PERCENT
-        val runningMillis = usable.sumOf { (it.info.capacity.cpuMillis - it.free.cpuMillis).toLong() }
+        val runningMillis = serving.sumOf { (it.info.capacity.cpuMillis - it.free.cpuMillis).toLong() }
         val waitingMillis = tables.waiting.sumOf { it.queuedMillis() }
         return ((runningMillis + waitingMillis) * FULL_PERCENT / roomMillis).toInt()
     }
@@ -64,8 +61,7 @@
     public fun disown(failureDomain: String) {
         tables.tokens.remove(failureDomain) ?: return
         tables.ownedSinceMs.remove(failureDomain)
-        val lost = tables.backends.values.filter { it.info.failureDomain == failureDomain }
-        lost.forEach { forget(it, nowMs()) }
+        tables.backendsIn(failureDomain).forEach { forget(it, nowMs()) }
     }
 
     /** Replaces the list of backend servers of the owned failure domains. */
@@ -179,33 +175,29 @@
         return true
     }
 
-    /** State of a job that is open here. */
-    public fun isStarted(job: JobId): Boolean? = tables.jobs[job]?.everOrdered
-
     /**
      * The instance is out of sight: withdraws its jobs. Returns what was known of each, for the case that the instance
      * still hears this one.
      */
-    public fun originLost(instance: String): List<Triple<JobOrigin, JobId, JobProgress>> {
-        val gone = tables.jobs.values.flatMap { job ->
-            job.origins.filter { it.instance == instance }.map { job to it }
-        }
-        return gone.map { (job, origin) ->
-            val progress = progressOf(job)
-            cancel(job.request.id, origin, "instance $instance is lost")
-            Triple(origin, job.request.id, progress)
-        }
+    public fun originLost(
+        instance: String,
+    ): List<Triple<JobOrigin, JobId, JobProgress>> = jobsOf(instance).map { (job, origin) ->
+        val progress = progressOf(job)
+        cancel(job.request.id, origin, "instance $instance is lost")
+        Triple(origin, job.request.id, progress)
     }
 
     /** Withdraws the jobs of [instance] that are not among its [requests]: it has given them to another owner. */
     public fun retain(instance: String, requests: Set<Long>) {
-        val left = tables.jobs.values.flatMap { job ->
-            job.origins.filter { it.instance == instance }.map { job to it }
-        }
-            .filter { (_, origin) -> origin.request !in requests }
+        val left = jobsOf(instance).filter { (_, origin) -> origin.request !in requests }
         left.forEach { (job, origin) -> cancel(job.request.id, origin, "instance $instance has no such request") }
     }
 
+    /** Open jobs that [instance] waits for, with its names for them. */
+    private fun jobsOf(instance: String): List<Pair<JobRow, JobOrigin>> = tables.jobs.values.flatMap { job ->
+        job.origins.filter { it.instance == instance }.map { job to it }
+    }
+
     public fun startAnswered(order: StartOrder, result: StartResult) {
         replies.startAnswered(order, result, nowMs())
         placement.run(nowMs())
@@ -252,7 +244,7 @@
 
     /** Whether some backend server of [failureDomain] has answered within [ageMs]; null if none is listed. */
     public fun isInContact(failureDomain: String, ageMs: Long): Boolean? {
-        val rows = tables.backends.values.filter { it.info.failureDomain == failureDomain }
+        val rows = tables.backendsIn(failureDomain)
         if (rows.isEmpty()) return null
         return rows.any { nowMs() - it.seenAtMs <= ageMs }
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -54,14 +54,14 @@
         var overflowed = false
     }
 
-    private val origin = clock.markNow()
+    private val elapsed = ElapsedClock(clock)
     private val pending = LinkedHashMap<Long, Pending>()
     private val byNumber = HashMap<Long, Pending>()
     private var nextNumber = 1L
 
     public val openRequests: Int get() = pending.size
 
-    private fun nowMs() = origin.elapsedNow().inWholeMilliseconds
+    private fun nowMs() = elapsed.nowMs()
 
     /** Runs [request]; [onResult] is called once. Returns the handle to [cancel] it with. */
     public fun submit(
@@ -107,9 +107,12 @@
             "afterMs",
             nowMs() - entry.arrivedAtMs,
         )
-        entry.owner?.let { link.cancel(it, PeerMessage.Cancel(entry.number, entry.request.id)) }
+        entry.owner?.let { withdraw(entry, it) }
     }
 
+    private fun withdraw(entry: Pending, owner: String) =
+        link.cancel(owner, PeerMessage.Cancel(entry.number, entry.request.id))
+
     private fun send(entry: Pending, owner: String) {
         val nowMs = nowMs()
         if (entry.owner != owner) {
@@ -191,7 +194,7 @@
             "from", entry.owner, "to", owner, "afterMs", nowMs() - entry.arrivedAtMs,
         )
         // An owner out of sight may still see this instance, and would go on with the job.
-        entry.owner?.takeIf { it != owner }?.let { link.cancel(it, PeerMessage.Cancel(entry.number, entry.request.id)) }
+        entry.owner?.takeIf { it != owner }?.let { withdraw(entry, it) }
         send(entry, owner)
     }
 
@@ -202,7 +205,7 @@
             val owner = entry.owner
             if (nowMs >= entry.deadlineMs) {
                 finish(entry, JobResult.Abandoned("no result at the caller's deadline"))
-                owner?.let { link.cancel(it, PeerMessage.Cancel(entry.number, entry.request.id)) }
+                owner?.let { withdraw(entry, it) }
             } else if (owner == null || !link.isAlive(owner)) {
                 reroute(entry)
             } else if (link.isOwner(owner)) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -18,7 +18,6 @@
     private val orders: BackendOrders,
     private val clock: TimeSource.WithComparableMarks,
     private val log: EventLog,
-    private val onConfiguration: (DispatchConfiguration) -> Unit = {},
 ) {
     private var self = settings.self
     private val network = PeerNetwork({ self }, settings.network, group, clock, Peers(), log)
@@ -122,7 +121,6 @@
             next.queues.size,
         )
         dispatcher.configure(next)
-        onConfiguration(next)
     }
 
     private fun ownershipTick() {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -44,7 +44,7 @@
         var releasedToken: Long? = null
     }
 
-    private val origin = clock.markNow()
+    private val elapsed = ElapsedClock(clock)
     private val domains = failureDomains.associateWith { Domain(it) }
     private var number = self.number
     private var peers: List<PeerView> = emptyList()
@@ -66,7 +66,7 @@
     public val released: Map<String, Long>
         get() = domains.values.mapNotNull { domain -> domain.releasedToken?.let { domain.name to it } }.toMap()
 
-    private fun nowMs() = origin.elapsedNow().inWholeMilliseconds
+    private fun nowMs() = elapsed.nowMs()
 
     /** The store has given this life its number. */
     public fun registered(number: Long) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.LengthFieldPrepender
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import java.net.ConnectException
 import kotlin.time.TimeSource
 
 /** Receives what peers say, on the event loop. */
@@ -60,13 +59,13 @@
         var listed = false
     }
 
-    private val origin = clock.markNow()
+    private val elapsed = ElapsedClock(clock)
     private val peers = HashMap<String, Peer>()
     private var server: Channel? = null
     private var sentBeat = PeerMessage.Beat()
     private var sentBeatAtMs = NEVER_MS
 
-    private fun nowMs() = origin.elapsedNow().inWholeMilliseconds
+    private fun nowMs() = elapsed.nowMs()
 
     /** Listens for peers. */
     public fun listen(host: String, port: Int) {
@@ -130,10 +129,12 @@
     }
 
     /** Sends a heartbeat to all peers now. */
-    public fun beatNow() {
-        sentBeat = beat()
+    public fun beatNow(): Unit = sendBeat(beat())
+
+    private fun sendBeat(beat: PeerMessage.Beat) {
+        sentBeat = beat
         sentBeatAtMs = nowMs()
-        broadcast(sentBeat)
+        broadcast(beat)
     }
 
     /**
@@ -146,8 +147,7 @@
         return beat.copy(intervalMs = if (isFollower) settings.followerBeatMs else settings.beatMs)
     }
 
-    private fun isBeatDue(nowMs: Long): Boolean {
-        val next = beat()
+    private fun isDue(next: PeerMessage.Beat, nowMs: Long): Boolean {
         val isNews = next.copy(loadPercent = sentBeat.loadPercent) != sentBeat
         return isNews || nowMs - sentBeatAtMs > next.intervalMs - settings.beatMs
     }
@@ -155,7 +155,7 @@
     /** Sends due heartbeats and looks after connections. Called each [PeerNetworkSettings.beatMs]. */
     public fun tick() {
         val nowMs = nowMs()
-        if (isBeatDue(nowMs)) beatNow()
+        beat().takeIf { isDue(it, nowMs) }?.let(::sendBeat)
         val watched = watched()
         for (peer in peers.values.toList()) {
             updateLife(peer, nowMs)
@@ -218,8 +218,7 @@
     }
 
     private fun dialFailed(peer: Peer, cause: Throwable) {
-        val isRefused = cause is ConnectException && cause.message.orEmpty().contains("refused", ignoreCase = true)
-        if (!isRefused || peer.refused) return
+        if (!isConnectionRefused(cause) || peer.refused) return
         peer.refused = true
         peer.heardAtMs = NEVER_MS
         log.event("peer", "refused", "peer", peer.member.instance, "number", peer.member.number)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RecentResults.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RecentResults.kt
@@ -10,11 +10,11 @@
 internal class RecentResults(clock: TimeSource.WithComparableMarks) {
     private class Recorded(val job: JobId, val result: JobResult, val atMs: Long)
 
-    private val origin = clock.markNow()
+    private val elapsed = ElapsedClock(clock)
     private val results = LinkedHashMap<JobOrigin, Recorded>()
 
     fun record(request: JobOrigin, job: JobId, result: JobResult) {
-        val nowMs = origin.elapsedNow().inWholeMilliseconds
+        val nowMs = elapsed.nowMs()
         results[request] = Recorded(job, result, nowMs)
         val oldest = results.entries.iterator()
         while (oldest.hasNext()) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/SettlingSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/SettlingSystem.kt
@@ -38,7 +38,7 @@
     private fun isSettled(failureDomain: String, nowMs: Long): Boolean {
         val sinceMs = tables.ownedSinceMs.getValue(failureDomain)
         if (settledDomains[failureDomain] == sinceMs) return true
-        val rows = tables.backends.values.filter { it.info.failureDomain == failureDomain }
+        val rows = tables.backendsIn(failureDomain)
         val allSeen = rows.isNotEmpty() && rows.all { it.seenAtMs != NEVER_MS }
         val isSettled = allSeen || nowMs - sinceMs >= longestRunMs()
         if (isSettled) settledDomains[failureDomain] = sinceMs
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -138,16 +138,8 @@
         world.submit(request, timeoutMs = 5_000)
         world.run(world.nowMs + 100)
         val busiest = world.backends.values.maxBy { it.running.size }.info.id
-        val listed = world.backends.values.map {
-            if (it.info.id ==
-                busiest
-            ) {
-                listedBefore.getValue(busiest)
-            } else {
-                it.info
-            }
-        }
-        world.dispatcher.listBackends(listed)
+        val listed = world.backends.mapValues { it.value.info } + (busiest to listedBefore.getValue(busiest))
+        world.dispatcher.listBackends(listed.values)
         world.run(world.nowMs + 2_000)
         world.doubleRuns.shouldBeEmpty()
         world.starts shouldBe 6
