Wait for the next owner before restarting tasks of a released failure domain

The next owner found runs of jobs that it did not know, extended the leases of their backend servers with each poll and stopped the runs after its grace period. The first owner restarted the tasks when the lease that it had granted itself was over, 16 ms too early.

A release now stops the runs of jobs that stay, and restarts a task when its backend server has acknowledged the stop. Without an acknowledgement it waits as long as the next owner may extend the lease. Ruled out: leases that the next owner does not extend, which would end the runs of known jobs on the same backend server.

Test: `a task in a released failure domain starts again only after the next owner has stopped its run` failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -14,7 +14,7 @@
      * Task whose backend server is no longer controlled by this instance. It is requeued when the lease of its run has
      * ended.
      */
-    private class Orphan(val task: TaskRow, val run: Int, val leaseEndMs: Long)
+    private class Orphan(val task: TaskRow, val run: Int, var leaseEndMs: Long)
 
     private val orphans = ArrayList<Orphan>()
 
@@ -289,9 +289,13 @@
         row.info = row.info.copy(incarnation = 0)
     }
 
-    /** The backend server is no longer controlled by this instance; its runs end at the latest with their lease. */
-    fun orphan(row: BackendRow, nowMs: Long) {
-        val leaseEndMs = maxOf(row.leaseEndMs, nowMs)
+    /**
+     * The backend server is no longer controlled by this instance; its runs end at the latest with their lease. If
+     * [isReleased], another owner may extend the lease of runs whose jobs it does not know until it stops them.
+     */
+    fun orphan(row: BackendRow, nowMs: Long, isReleased: Boolean) {
+        val extensionMs = if (isReleased) settings.unknownRunGraceMs + MAX_LEASE_MS else 0
+        val leaseEndMs = maxOf(row.leaseEndMs, nowMs) + extensionMs
         for (task in row.tasks.values.toList()) {
             row.release(task)
             if (!task.job.ended) task.state = TaskState.UNCERTAIN
@@ -300,6 +304,12 @@
         }
     }
 
+    /** A backend server that this instance no longer controls has acknowledged [command], so the run ends soon. */
+    fun onOrphanStopped(command: StopCommand, nowMs: Long) {
+        orphans.filter { it.task.key == command.task && it.run == command.run }
+            .forEach { it.leaseEndMs = minOf(it.leaseEndMs, nowMs + STOP_MARGIN_MS) }
+    }
+
     fun runTimers(nowMs: Long) {
         for (row in tables.backends.values) {
             stopUnknownRuns(row, nowMs)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -57,11 +57,19 @@
         tables.ownedSinceMs[failureDomain] = nowMs()
     }
 
-    /** Releases [failureDomain]. Runs there are not stopped, since they may continue under another owner. */
+    /**
+     * Releases [failureDomain]. Runs there of jobs that stay with this instance are stopped, since the next owner does
+     * not know these jobs. Runs of jobs that were handed over continue under the next owner.
+     */
     public fun release(failureDomain: String) {
-        tables.tokens.remove(failureDomain) ?: return
+        val token = tables.tokens.remove(failureDomain) ?: return
         tables.ownedSinceMs.remove(failureDomain)
-        tables.backendsIn(failureDomain).forEach { removeBackend(it, nowMs()) }
+        val nowMs = nowMs()
+        for (row in tables.backendsIn(failureDomain)) {
+            val stops = row.tasks.values.map { StopCommand(row.info, it.key, it.run, token) }
+            removeBackend(row, nowMs, isReleased = true)
+            stops.forEach(actions::stop)
+        }
     }
 
     /** Replaces the list of backend servers of the owned failure domains. */
@@ -92,10 +100,10 @@
         row.info = if (info.incarnation == 0L) info.copy(incarnation = row.info.incarnation) else info
     }
 
-    private fun removeBackend(row: BackendRow, nowMs: Long) {
+    private fun removeBackend(row: BackendRow, nowMs: Long, isReleased: Boolean = false) {
         tables.backends.remove(row.info.id)
         row.removed = true
-        replies.orphan(row, nowMs)
+        replies.orphan(row, nowMs, isReleased)
     }
 
     /**
@@ -196,6 +204,11 @@
         placement.run(nowMs())
     }
 
+    /** A stop command was acknowledged by the backend server, or got no usable response. */
+    public fun onStopResult(command: StopCommand, isAcknowledged: Boolean) {
+        if (isAcknowledged) replies.onOrphanStopped(command, nowMs())
+    }
+
     public fun onPollResult(request: PollRequest, number: Long, result: PollResult) {
         replies.onPollResult(request, number, result, nowMs())
         polls.run(nowMs())
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -243,6 +243,7 @@
         override fun start(command: StartCommand) = commands.start(command) { dispatcher.onStartResult(command, it) }
 
         override fun stop(command: StopCommand) = commands.stop(command) {
+            dispatcher.onStopResult(command, it)
             if (!it) {
                 log.event(
                     "dispatch",
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
@@ -48,12 +48,10 @@
     }
 
     private fun longestRunMs(): Long = (MAX_LEASE_MS * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
+}
 
-    private companion object {
-        /** Longest lease that a backend server grants, on its own clock; defined by the platform. */
-        const val MAX_LEASE_MS = 1_000L
+/** Longest lease that a backend server grants, on its own clock; defined by the platform. */
+internal const val MAX_LEASE_MS = 1_000L
 
-        /** Time that a backend server may take to stop a run once its lease has expired. */
-        const val STOP_MARGIN_MS = 80L
-    }
-}
+/** Time that a backend server may take to stop a run once its lease has expired or it has acknowledged a stop. */
+internal const val STOP_MARGIN_MS = 80L
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -211,6 +211,60 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /** A job that runs on all backend servers of two failure domains, and a free backend server in the first. */
+    private fun jobInTwoDomains(): SimulatedBackends {
+        val sim = SimulatedBackends(failureDomains = setOf("d1", "d2")).apply {
+            configure(SimulatedBackends.queue())
+            add("b0", domain = "d1")
+            repeat(2) { add("b${it + 1}", domain = "d2") }
+            takeOver()
+            run(untilMs = 100)
+            workMs = { 2_000 }
+            submit(job("j", tasks = 6, estimateMs = 2_000), timeoutMs = 20_000)
+            run(untilMs = 150)
+            add("free", domain = "d1")
+            listAll()
+            run(untilMs = 200)
+        }
+        sim.backends.values.count { it.running.isNotEmpty() } shouldBe 3
+        return sim
+    }
+
+    /**
+     * Guards against a second run beside one in a released failure domain: the next owner there extends the leases of
+     * runs whose jobs it does not know, and stops them only after a grace period.
+     */
+    @Test
+    fun `a task in a released failure domain starts again only after the next owner has stopped its run`() {
+        val sim = jobInTwoDomains()
+        val released = sim.backends.values.filter { it.info.failureDomain == "d2" }
+        released.forEach {
+            it.token = 2
+            it.leaseUntilMs = sim.nowMs + 1_500
+        }
+        sim.after(1_400) {
+            released.forEach { backend ->
+                backend.running.toList().forEach { (task, run) -> backend.end(task, run, RunOutcome.STOPPED) }
+            }
+        }
+        sim.dispatcher.release("d2")
+        sim.run(untilMs = 15_000)
+        sim.concurrentRuns.shouldBeEmpty()
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
+    /** Guards against waiting for the lease of runs that were stopped when their failure domain was released. */
+    @Test
+    fun `tasks in a released failure domain start again as soon as their runs are stopped`() {
+        val sim = jobInTwoDomains()
+        sim.dispatcher.release("d2")
+        sim.run(untilMs = 250)
+        sim.backends.values.filter { it.info.failureDomain == "d2" }.flatMap { it.running.keys }.shouldBeEmpty()
+        sim.run(untilMs = 350)
+        sim.backends.getValue("free").running.size shouldBe 2
+        sim.concurrentRuns.shouldBeEmpty()
+    }
+
     /** Guards against continuing a job that its instance has sent to another owner while the connection was broken. */
     @Test
     fun `jobs that an instance no longer has open here are withdrawn`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -181,10 +181,11 @@
     override fun stop(command: StopCommand) = after(1) {
         val backend = backends[command.backend.id]
         val run = backend?.running?.get(command.task)
-        if (backend != null && !backend.partitioned &&
-            run?.run == command.run
-        ) {
-            after(20) { backend.end(command.task, run, RunOutcome.STOPPED) }
+        if (backend == null || backend.partitioned || command.token < backend.token) {
+            dispatcher.onStopResult(command, isAcknowledged = false)
+        } else {
+            if (run?.run == command.run) after(20) { backend.end(command.task, run, RunOutcome.STOPPED) }
+            after(1) { dispatcher.onStopResult(command, isAcknowledged = true) }
         }
     }
 
