Leave unowned failure domains to their own instances for a moment

Test: `with an owner per failure domain an instance leaves other domains to instances that start with it` failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -42,6 +42,9 @@
 
         /** Token under which this instance released the domain; null if it did not, or owns it again. */
         var releasedToken: Long? = null
+
+        /** Time since which the domain has had no owner that this instance reaches; null while it has one. */
+        var unownedSinceMs: Long? = null
     }
 
     private val elapsed = ElapsedClock(clock)
@@ -182,6 +185,9 @@
     private fun record(name: String, token: Long) = OwnerRecord(name, self.instance, number, token)
 
     private fun claimUnowned() {
+        for (domain in domains.values) {
+            domain.unownedSinceMs = if (isUnowned(domain)) domain.unownedSinceMs ?: nowMs() else null
+        }
         val unowned = domains.values.filter { isUnowned(it) && isCandidate(it) }
         if (unowned.isEmpty()) {
             unownedSinceMs = null
@@ -220,6 +226,7 @@
 
     /** Whether this instance is the one to claim [domain] if it has no owner; see [rank]. */
     private fun isCandidate(domain: Domain): Boolean {
+        if (isPerDomain && domain.name != self.failureDomain && !mayHaveNoInstance(domain)) return false
         val mine = rank(domain, self.failureDomain, owned.size)
         return peers.none {
             if (it.state != PeerState.ALIVE || it.leaving) return@none false
@@ -228,6 +235,13 @@
         }
     }
 
+    /**
+     * Whether [domain] has been without an owner for so long that it may have no instance of its own. When all instances
+     * start at the same time, those of the domain need a moment to be seen.
+     */
+    private fun mayHaveNoInstance(domain: Domain): Boolean =
+        nowMs() - (domain.unownedSinceMs ?: nowMs()) >= settings.otherDomainWaitMs
+
     /**
      * Rank of a candidate for [domain], higher is better. A single owner is the owner of the most failure domains; with
      * an owner per failure domain, instances located there are preferred.
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -175,6 +175,28 @@
         listOf(a, b, c).count { it.ownership.owned.isNotEmpty() } shouldBe 1
     }
 
+    /**
+     * Guards against claiming the failure domains of instances that start a moment later, after all have lost power. The
+     * claims were released two seconds later, and the runs there were lost.
+     */
+    @Test
+    fun `with an owner per failure domain an instance leaves other domains to instances that start with it`() {
+        listOf(a, b, c).forEach { it.ownership.isPerDomain = true }
+        run(400, nodes = listOf(a)) { listOf(seen(b, PeerState.SILENT), seen(c, PeerState.SILENT)) }
+        a.ownership.owned.keys shouldBe setOf("d1")
+        run(1_000, sees = ::all)
+        a.lost.shouldBeEmpty()
+        b.ownership.owned.keys shouldBe setOf("d2")
+    }
+
+    @Test
+    fun `with an owner per failure domain an instance claims a domain without instances`() {
+        listOf(a, b, c).forEach { it.ownership.isPerDomain = true }
+        run(500, sees = ::all)
+        run(2_000, nodes = listOf(a)) { listOf(seen(b, PeerState.DEAD), seen(c, PeerState.DEAD)) }
+        a.ownership.owned.keys shouldBe setOf("d1", "d2")
+    }
+
     private companion object {
         const val TICK_MS = 50L
     }
