Send heartbeats rarely between instances that do not depend on each other

At 47 machines most messages are heartbeats of instances that own nothing: about 45 a second sent by each, 440 by each owner. Instances in different failure domains, of which one owns nothing and neither runs jobs of the other, now exchange one a second; the first message to such a peer carries the short interval, so that its loss is detected as before. Owners pass on the loads of the other owners. The list of instances goes only to peers that do not reach the store.

Polls of backend servers without runs wait 0.5 s, not 0.25 s, with a lease that is longer by as much.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendPollSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendPollSystem.kt
@@ -8,7 +8,7 @@
 ) {
     fun run(nowMs: Long) {
         for (row in tables.backends.values) {
-            val isLost = nowMs - row.pollSentAtMs > settings.pollWaitMs + settings.pollTimeoutMs
+            val isLost = nowMs - row.pollSentAtMs > row.pollWaitMs + settings.pollTimeoutMs
             if (isLost) row.pollInFlight = false
             if (!row.pollInFlight && nowMs >= nextPollMs(row)) poll(row, nowMs)
         }
@@ -26,10 +26,17 @@
         // The first poll only reads the clock and the runs. A poll of an unreachable backend server may arrive although
         // its response is lost, and must not extend the lease of runs that are about to be abandoned.
         val isReadOnly = clockMs == null || row.isUnreachable
-        val leaseUntilMs = if (isReadOnly) null else clockMs?.plus(settings.leaseMs)
-        if (leaseUntilMs != null) row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs))
-        val waitMs = if (isReadOnly) 0 else settings.pollWaitMs
-        actions.poll(PollRequest(row.info, token, leaseUntilMs, row.acknowledgedEnd, waitMs), row.pollNumber)
+        row.pollWaitMs = if (isReadOnly) 0 else waitMs(row)
+        // A task may start while an idle backend server is polled, so the lease covers the longer wait.
+        val leaseMs = settings.leaseMs + (row.pollWaitMs - settings.pollWaitMs).coerceAtLeast(0)
+        val leaseUntilMs = if (isReadOnly) null else clockMs?.plus(leaseMs)
+        if (leaseUntilMs != null) row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs, leaseMs))
+        actions.poll(PollRequest(row.info, token, leaseUntilMs, row.acknowledgedEnd, row.pollWaitMs), row.pollNumber)
+    }
+
+    private fun waitMs(row: BackendRow): Long {
+        val isIdle = row.tasks.isEmpty() && row.unknownRuns.isEmpty()
+        return if (isIdle) settings.idlePollWaitMs else settings.pollWaitMs
     }
 
     private companion object {
@@ -37,9 +44,9 @@
     }
 }
 
-/** Latest end, on the dispatcher's clock, of a lease that is granted at [nowMs]. */
-internal fun leaseEnd(settings: DispatchSettings, nowMs: Long): Long =
-    nowMs + (settings.leaseMs * (1 + settings.clockDrift)).toLong() + LEASE_MARGIN_MS
+/** Latest end, on the dispatcher's clock, of a lease of [leaseMs] that is granted at [nowMs]. */
+internal fun leaseEnd(settings: DispatchSettings, nowMs: Long, leaseMs: Long): Long =
+    nowMs + (leaseMs * (1 + settings.clockDrift)).toLong() + LEASE_MARGIN_MS
 
 /** Covers the error of the estimated clock of a backend server and the time it takes to stop expired runs. */
 private const val LEASE_MARGIN_MS = 100L
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -134,7 +134,7 @@
         task.progressAtMs = nowMs
         job.queuedTasks--
         row.reserve(task)
-        row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs))
+        row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs, settings.leaseMs))
         if (!job.everDispatched) {
             job.everDispatched = true
             job.firstDispatchedAtMs = nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -6,6 +6,8 @@
  * @property leaseMs lease of the runs on a backend server. Shorter than the platform's maximum of 1,000 ms, so that
  *   the runs of a dead owner end soon; longer than two [pollWaitMs], so that one lost poll expires no lease.
  * @property pollWaitMs how long a poll waits for a run to end.
+ * @property idlePollWaitMs the same for a backend server without runs. The lease is longer by the difference to
+ *   [pollWaitMs] and stays below the platform's maximum.
  * @property pollTimeoutMs time beyond [pollWaitMs] after which a poll counts as lost: several round trips on a slow
  *   machine.
  * @property startValidityMs validity of a start command, so that commands which arrive seconds late are rejected.
@@ -23,6 +25,7 @@
 public data class DispatchSettings(
     val leaseMs: Long = 700,
     val pollWaitMs: Long = 250,
+    val idlePollWaitMs: Long = 500,
     val pollTimeoutMs: Long = 150,
     val startValidityMs: Long = 200,
     val unknownRunGraceMs: Long = 300,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -148,6 +148,9 @@
     var pollSentAtMs = 0L
     var pollInFlight = false
 
+    /** How long the last poll may wait for a run to end. */
+    var pollWaitMs = 0L
+
     /** Identifies the poll in flight, so that late responses of abandoned polls are ignored. */
     var pollNumber = 0L
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -44,6 +44,10 @@
     public fun waitingJobs(queue: QueueId): Int =
         tables.jobs.values.count { it.queue.id == queue && !it.everDispatched }
 
+    /** Instances that wait for the results of open jobs. */
+    public fun waitingInstances(): Set<String> =
+        tables.jobs.values.flatMapTo(HashSet()) { job -> job.origins.map { it.instance } }
+
     /** Failure domains that this instance owns. */
     public val ownedDomains: Set<String> get() = tables.tokens.keys
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -171,6 +171,9 @@
         reroute(request)
     }
 
+    /** Owners at which this instance has requests open. */
+    internal fun owners(): Set<String> = pending.values.mapNotNullTo(HashSet()) { it.owner }
+
     /** Numbers of the requests that this instance has open at [owner]. */
     internal fun openRequestsAt(owner: String): List<Long> =
         pending.values.filter { it.owner == owner }.map { it.number }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -34,8 +34,12 @@
     )
     private val results = RecentResults(clock)
     private val lostInstances = HashSet<String>()
+
+    /** Peers that don't reach the store and have received the members from this instance. */
+    private val withoutStore = HashSet<String>()
     private var backends: List<BackendInfo> = emptyList()
     private var leaving = false
+    private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
 
@@ -103,6 +107,7 @@
     }
 
     private fun onMembers(members: List<PeerMember>) {
+        isMembershipKnown = true
         network.setMembers(members.filter { it.instance != self.instance })
     }
 
@@ -126,7 +131,10 @@
     private fun ownershipTick() {
         ownership.isPerDomain = network.members().size >= settings.perDomainOwnersFrom
         val peers = network.views()
-        ownership.tick(peers, dispatcher.openJobs) { dispatcher.hasRecentContact(it, CONTACT_MS) }
+        // Until the size of the deployment is known, an instance may claim failure domains that it has to release again.
+        if (isMembershipKnown || !store.isReachable) {
+            ownership.tick(peers, dispatcher.openJobs) { dispatcher.hasRecentContact(it, CONTACT_MS) }
+        }
         store.watchBackends(shouldWatchBackends(peers), ::onBackends)
         for (peer in peers) {
             if (peer.state == PeerState.ALIVE) {
@@ -203,11 +211,16 @@
             configuration?.version ?: 0,
             ownership.owned,
             ownership.released,
-            dispatcher.loadPercent(),
+            if (dispatcher.ownedDomains.isEmpty()) 0 else dispatcher.loadPercent(),
+            if (dispatcher.ownedDomains.isEmpty()) emptyMap() else otherOwnerLoads(),
             store.isReachable,
             leaving,
         )
 
+    private fun otherOwnerLoads(): Map<String, Int> =
+        owners().filter { it.member.instance != self.instance }
+            .associate { it.member.instance to (network.heartbeatOf(it.member.instance)?.loadPercent ?: 0) }
+
     private inner class OwnershipChanges : OwnershipListener {
         override fun onAcquired(failureDomain: String, token: Long) {
             dispatcher.acquire(failureDomain, token)
@@ -284,15 +297,15 @@
             return owners.minWithOrNull(BEST_OWNER)?.member?.instance
         }
 
-        override fun lessLoadedOrNull(owner: String): String? =
-            owners().filter { it.member.instance != owner }
-                .map {
-                    it.member.instance to
-                        (network.heartbeatOf(it.member.instance)?.loadPercent ?: dispatcher.loadPercent())
-                }
+        override fun lessLoadedOrNull(owner: String): String? {
+            val loadsAtOwner = network.heartbeatOf(owner)?.ownerLoads.orEmpty()
+            return owners().map { it.member.instance }
+                .filter { it != owner }
+                .map { it to (loadsAtOwner[it] ?: network.heartbeatOf(it)?.loadPercent ?: dispatcher.loadPercent()) }
                 .filter { (_, loadPercent) -> loadPercent < OVERFLOW_PERCENT }
                 .minByOrNull { (_, loadPercent) -> loadPercent }
                 ?.first
+        }
 
         override fun isOwner(instance: String): Boolean =
             if (instance == self.instance) {
@@ -357,6 +370,12 @@
         }
 
         private fun onHeartbeat(peer: PeerMember, heartbeat: PeerMessage.Heartbeat) {
+            // Instances that reach the store have the members from there.
+            if (heartbeat.storeReachable) {
+                withoutStore -= peer.instance
+            } else if (withoutStore.add(peer.instance)) {
+                network.send(peer.instance, PeerMessage.Members(network.members() + self))
+            }
             val current = configuration ?: return
             if (heartbeat.configurationVersion < current.version) {
                 network.send(peer.instance, PeerMessage.Configuration(current))
@@ -370,13 +389,15 @@
         }
 
         override fun onConnected(peer: PeerMember) {
-            network.send(peer.instance, PeerMessage.Members(network.members() + self))
+            withoutStore -= peer.instance
             if (dispatcher.ownedDomains.isNotEmpty()) network.send(peer.instance, PeerMessage.Backends(backends))
             network.send(peer.instance, PeerMessage.OpenRequests(entry.openRequestsAt(peer.instance)))
             entry.onReconnected(peer.instance)
         }
 
         override fun heartbeat(): PeerMessage.Heartbeat = this@FleetInstance.heartbeat()
+
+        override fun partners(): Set<String> = entry.owners() + dispatcher.waitingInstances()
     }
 
     private companion object {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -18,6 +18,8 @@
      * @property released failure domains that the sender has released for the next owner, with their tokens.
      * @property loadPercent demand of running and queued tasks as a percentage of the capacity under the sender's
      *   control.
+     * @property ownerLoads [loadPercent] of the other owners by instance, as an owner knows it. Other instances hear
+     *   distant owners less often than their own.
      * @property storeReachable whether the platform's store responds to the sender.
      * @property intervalMs time until the sender's next heartbeat, in milliseconds.
      */
@@ -28,10 +30,14 @@
         val owned: Map<String, Long> = emptyMap(),
         val released: Map<String, Long> = emptyMap(),
         val loadPercent: Int = 0,
+        val ownerLoads: Map<String, Int> = emptyMap(),
         val storeReachable: Boolean = true,
         val leaving: Boolean = false,
         val intervalMs: Long = 100,
-    ) : PeerMessage
+    ) : PeerMessage {
+        /** The content of which a change is reported at once. */
+        internal fun withoutLoads(): Heartbeat = copy(loadPercent = 0, ownerLoads = emptyMap())
+    }
 
     /**
      * Asks an owner to run a job. Answered by one [Ended] or [Moved] with the same [number].
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -28,6 +28,9 @@
 
     /** The current content of a heartbeat. */
     public fun heartbeat(): PeerMessage.Heartbeat
+
+    /** Instances that run jobs for this instance, or for which it runs jobs. Their loss must be detected early. */
+    public fun partners(): Set<String>
 }
 
 /**
@@ -59,13 +62,16 @@
         var state = PeerState.SILENT
         var heartbeat = PeerMessage.Heartbeat()
         var listed = false
+
+        /** Time of the last heartbeat to the peer, and the interval that it announced. */
+        var heartbeatSentAtMs = NEVER_MS
+        var announcedIntervalMs = 0L
     }
 
     private val elapsed = ElapsedClock(clock)
     private val peers = HashMap<String, Peer>()
     private var server: Channel? = null
     private var sentHeartbeat = PeerMessage.Heartbeat()
-    private var sentHeartbeatAtMs = NEVER_MS
 
     private fun nowMs() = elapsed.nowMs()
 
@@ -123,10 +129,16 @@
      * shows that it has arrived.
      */
     public fun send(instance: String, message: PeerMessage) {
-        val channel = peers[instance]?.channel ?: return
+        val peer = peers[instance] ?: return
+        val channel = peer.channel ?: return
+        // The receiver would otherwise detect the loss of this instance only after the long interval announced before.
+        if (peer.announcedIntervalMs > settings.followerHeartbeatIntervalMs) {
+            sendHeartbeat(peer, settings.followerHeartbeatIntervalMs, EncodedHeartbeats(sentHeartbeat))
+        }
         channel.writeAndFlush(encode(message), channel.voidPromise())
     }
 
+    /** Sends [message] to all peers with a connection. Unlike [send], it does not affect the heartbeats. */
     public fun broadcast(message: PeerMessage) {
         val encoded = encode(message)
         peers.values.mapNotNull { it.channel }
@@ -135,34 +147,70 @@
     }
 
     /** Sends a heartbeat to all peers now. */
-    public fun sendHeartbeatNow(): Unit = sendHeartbeat(heartbeat())
+    public fun sendHeartbeatNow(): Unit = sendHeartbeats(isDue = { _, _ -> true })
+
+    private fun sendHeartbeats(isDue: (Peer, Long) -> Boolean) {
+        sentHeartbeat = listener.heartbeat()
+        val partners = listener.partners()
+        val encoded = EncodedHeartbeats(sentHeartbeat)
+        for (peer in peers.values) {
+            val intervalMs = heartbeatIntervalMs(peer, sentHeartbeat, partners)
+            if (isDue(peer, intervalMs)) sendHeartbeat(peer, intervalMs, encoded)
+        }
+    }
 
-    private fun sendHeartbeat(heartbeat: PeerMessage.Heartbeat) {
-        sentHeartbeat = heartbeat
-        sentHeartbeatAtMs = nowMs()
-        broadcast(heartbeat)
+    private fun sendDueHeartbeats(nowMs: Long) {
+        val hasChanged = listener.heartbeat().withoutLoads() != sentHeartbeat.withoutLoads()
+        sendHeartbeats { peer, intervalMs ->
+            // The peer expects the next heartbeat within the interval announced by the last one.
+            val dueAfterMs = minOf(intervalMs, peer.announcedIntervalMs) - settings.heartbeatIntervalMs
+            hasChanged || nowMs - peer.heartbeatSentAtMs > dueAfterMs
+        }
     }
 
-    /**
-     * The heartbeat to send. In a large deployment, an instance that owns nothing sends heartbeats less often: late
-     * detection of a dead owner delays the jobs of all, that of another instance only the withdrawal of its own jobs.
-     */
-    private fun heartbeat(): PeerMessage.Heartbeat {
-        val heartbeat = listener.heartbeat()
-        val isFollower = heartbeat.owned.isEmpty() && peers.size > settings.fullMeshSize
-        val intervalMs = if (isFollower) settings.followerHeartbeatIntervalMs else settings.heartbeatIntervalMs
-        return heartbeat.copy(intervalMs = intervalMs)
+    private fun sendHeartbeat(peer: Peer, intervalMs: Long, encoded: EncodedHeartbeats) {
+        val channel = peer.channel ?: return
+        peer.heartbeatSentAtMs = nowMs()
+        peer.announcedIntervalMs = intervalMs
+        channel.writeAndFlush(encoded.get(intervalMs), channel.voidPromise())
     }
 
-    private fun isDue(next: PeerMessage.Heartbeat, nowMs: Long): Boolean {
-        val hasChanged = next.copy(loadPercent = sentHeartbeat.loadPercent) != sentHeartbeat
-        return hasChanged || nowMs - sentHeartbeatAtMs > next.intervalMs - settings.heartbeatIntervalMs
+    /** Encodes a heartbeat once for each interval that it announces. */
+    private inner class EncodedHeartbeats(private val heartbeat: PeerMessage.Heartbeat) {
+        private val byIntervalMs = HashMap<Long, ByteArray>()
+
+        fun get(intervalMs: Long): ByteBuf = Unpooled.wrappedBuffer(
+            byIntervalMs.getOrPut(intervalMs) { toBytes(heartbeat.copy(intervalMs = intervalMs)) },
+        )
+    }
+
+    /**
+     * Interval of the heartbeats to [peer].
+     *
+     * In a large deployment it is long between instances that do not depend on each other: they are in different failure
+     * domains, at least one of them owns nothing, and neither runs jobs of the other. Of the other instances, those that
+     * own nothing send half as many heartbeats as an owner: late detection of a dead owner delays the jobs of all, that
+     * of another instance only the withdrawal of its own jobs.
+     */
+    private fun heartbeatIntervalMs(peer: Peer, heartbeat: PeerMessage.Heartbeat, partners: Set<String>): Long {
+        if (peers.size <= settings.fullMeshSize) return settings.heartbeatIntervalMs
+        val isOwner = heartbeat.owned.isNotEmpty()
+        val isDependent = (isOwner && peer.heartbeat.owned.isNotEmpty()) ||
+            peer.member.failureDomain == self().failureDomain ||
+            peer.member.failureDomain in heartbeat.owned ||
+            self().failureDomain in peer.heartbeat.owned ||
+            peer.member.instance in partners
+        return when {
+            !isDependent -> settings.distantHeartbeatIntervalMs
+            isOwner -> settings.heartbeatIntervalMs
+            else -> settings.followerHeartbeatIntervalMs
+        }
     }
 
     /** Sends heartbeats and opens connections as due. Called every [PeerNetworkSettings.heartbeatIntervalMs]. */
     public fun tick() {
         val nowMs = nowMs()
-        heartbeat().takeIf { isDue(it, nowMs) }?.let(::sendHeartbeat)
+        sendDueHeartbeats(nowMs)
         val monitored = monitored()
         for (peer in peers.values.toList()) {
             updateState(peer, nowMs)
@@ -246,8 +294,8 @@
         private var peer: Peer? = null
 
         override fun channelActive(context: ChannelHandlerContext) {
-            context.writeAndFlush(encode(PeerMessage.Hello(self())))
-            context.writeAndFlush(encode(heartbeat()))
+            context.write(encode(PeerMessage.Hello(self())))
+            context.writeAndFlush(encode(listener.heartbeat().copy(intervalMs = settings.heartbeatIntervalMs)))
         }
 
         override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) {
@@ -280,6 +328,8 @@
             if (remote.channels.size > MAX_CONNECTIONS) remote.channels.first().close()
             remote.refused = false
             remote.receivedAtMs = nowMs()
+            // The heartbeat that opened the connection announced the shortest interval.
+            remote.announcedIntervalMs = 0
             peer = remote
             listener.onConnected(member)
         }
@@ -301,8 +351,10 @@
         }
     }
 
-    private fun encode(message: PeerMessage): ByteBuf =
-        Unpooled.wrappedBuffer(json.encodeToString(PeerMessage.serializer(), message).toByteArray())
+    private fun encode(message: PeerMessage): ByteBuf = Unpooled.wrappedBuffer(toBytes(message))
+
+    private fun toBytes(message: PeerMessage): ByteArray =
+        json.encodeToString(PeerMessage.serializer(), message).toByteArray()
 
     private companion object {
         const val LENGTH_BYTES = 4
@@ -325,6 +377,8 @@
  * @property heartbeatIntervalMs heartbeat interval.
  * @property followerHeartbeatIntervalMs heartbeat interval of instances that own nothing in deployments above
  *   [fullMeshSize], where most messages are heartbeats.
+ * @property distantHeartbeatIntervalMs heartbeat interval between instances that do not depend on each other in
+ *   deployments above [fullMeshSize]. Only the choice of an owner for jobs that overflow depends on these heartbeats.
  * @property redialAfterMs time without a message after which a new connection is opened: more than two heartbeat
  *   intervals.
  * @property silentMs time without a message after which a peer no longer counts as alive; leaves a new connection time
@@ -339,6 +393,7 @@
 public data class PeerNetworkSettings(
     val heartbeatIntervalMs: Long = 100,
     val followerHeartbeatIntervalMs: Long = 200,
+    val distantHeartbeatIntervalMs: Long = 1_000,
     val redialAfterMs: Long = 250,
     val silentMs: Long = 400,
     val redialPauseMs: Long = 200,
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -18,11 +18,12 @@
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val clock = TestTimeSource()
 
-    private inner class Peer(name: String, number: Long) : PeerListener {
-        val member = PeerMember(name, "d", "127.0.0.1", ServerSocket(0).use { it.localPort }, number)
+    private inner class Peer(name: String, number: Long, failureDomain: String = "d") : PeerListener {
+        val member = PeerMember(name, failureDomain, "127.0.0.1", ServerSocket(0).use { it.localPort }, number)
         val received = CopyOnWriteArrayList<Pair<String, PeerMessage>>()
         val events = CopyOnWriteArrayList<String>()
         var heartbeat = PeerMessage.Heartbeat()
+        var partners = emptySet<String>()
         val network = PeerNetwork({ member }, PeerNetworkSettings(), group, clock, this, { part, event, fields ->
             events += "$part $event ${fields.joinToString(" ")}"
         }).also { it.listen(member.host, member.port) }
@@ -35,6 +36,8 @@
 
         override fun heartbeat(): PeerMessage.Heartbeat = heartbeat
 
+        override fun partners(): Set<String> = partners
+
         fun heartbeatsFrom(peer: Peer) = received.count { (from, message) ->
             from == peer.member.instance && message is PeerMessage.Heartbeat
         }
@@ -66,13 +69,10 @@
             clock += PeerNetworkSettings().heartbeatIntervalMs.milliseconds
             peers.forEach { it.network.tick() }
         }
-        // When the probes have arrived, all messages sent before them have arrived, too.
+        // When the probes have arrived, all messages sent before them have arrived, too. Unlike a message to one peer, a
+        // broadcast does not change the heartbeats.
         val counts = peers.map { it.received.size }
-        onLoop {
-            peers.forEach { peer ->
-                peers.filter { it !== peer }.forEach { peer.network.send(it.member.instance, PROBE) }
-            }
-        }
+        onLoop { peers.forEach { it.network.broadcast(PROBE) } }
         await {
             peers.withIndex().all { (index, peer) ->
                 peer.received.drop(counts[index]).count { it.second == PROBE } >= peers.size - 1
@@ -118,6 +118,55 @@
         owner.stateOf(follower) shouldBe PeerState.ALIVE
     }
 
+    /**
+     * Guards against heartbeats whose number at an owner grows with the whole deployment, not only with its failure
+     * domain.
+     */
+    @Test
+    fun `in a large deployment an owner and a follower of another failure domain send one heartbeat a second`() {
+        val owner = Peer("a", 1).apply { heartbeat = heartbeat.copy(owned = mapOf("d" to 1L)) }
+        val follower = Peer("b", 2, failureDomain = "e")
+        connect(owner, follower, others = 13)
+        advance(ticks = 10, owner, follower)
+        val fromFollower = owner.heartbeatsFrom(follower)
+        val fromOwner = follower.heartbeatsFrom(owner)
+        advance(ticks = 20, owner, follower)
+        owner.heartbeatsFrom(follower) - fromFollower shouldBeInRange 2..3
+        follower.heartbeatsFrom(owner) - fromOwner shouldBeInRange 2..3
+        owner.stateOf(follower) shouldBe PeerState.ALIVE
+        follower.stateOf(owner) shouldBe PeerState.ALIVE
+    }
+
+    /** Guards against runs of a lost instance that continue until its next heartbeat of the long interval is overdue. */
+    @Test
+    fun `an instance that submits a job to a distant owner counts as silent as soon as any other`() {
+        val owner = Peer("a", 1).apply { heartbeat = heartbeat.copy(owned = mapOf("d" to 1L)) }
+        val follower = Peer("b", 2, failureDomain = "e")
+        connect(owner, follower, others = 13)
+        advance(ticks = 10, owner, follower)
+        advance(ticks = 12, owner, follower)
+        onLoop { follower.network.send("a", PROBE) }
+        await { owner.received.last().second == PROBE }
+        onLoop {
+            clock += SILENT_FOLLOWER_MS.milliseconds
+            owner.network.tick()
+        }
+        owner.stateOf(follower) shouldBe PeerState.SILENT
+    }
+
+    /** Guards against partners that count as silent because the interval of the heartbeats has become longer. */
+    @Test
+    fun `the interval of the heartbeats to a former partner grows without a gap`() {
+        val owner = Peer("a", 1).apply { heartbeat = heartbeat.copy(owned = mapOf("d" to 1L)) }
+        val follower = Peer("b", 2, failureDomain = "e")
+        connect(owner, follower, others = 13)
+        onLoop { follower.partners = setOf("a") }
+        advance(ticks = 10, owner, follower)
+        onLoop { follower.partners = emptySet() }
+        advance(ticks = 30, owner, follower)
+        onLoop { owner.events.toList() }.none { "life peer b" in it && "is SILENT" in it } shouldBe true
+    }
+
     @Test
     fun `a changed heartbeat is sent with the next tick`() {
         val a = Peer("a", 1)
@@ -147,6 +196,9 @@
 
     private companion object {
         const val WAIT_S = 20L
+
+        /** More than an instance that owns nothing may stay silent, and less than an instance of the long interval. */
+        const val SILENT_FOLLOWER_MS = 800L
         val PROBE = PeerMessage.OpenRequests(emptyList())
     }
 }
