--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -16,6 +16,9 @@
     /** Whether [instance] is reachable. */
     fun isAlive(instance: String): Boolean
 
+    /** Registration number of [instance], which identifies its process; null if it is unknown or provisional. */
+    fun incarnationOrNull(instance: String): Long?
+
     fun submit(owner: String, message: PeerMessage.Submit)
 
     fun cancel(owner: String, message: PeerMessage.Cancel)
@@ -42,6 +45,9 @@
     ) {
         var owner: String? = null
 
+        /** Process of [owner] to which the job was last submitted; null if unknown. */
+        var ownerIncarnation: Long? = null
+
         /**
          * Number of the request at [owner]. It changes with the owner, so that replies to earlier attempts are ignored.
          */
@@ -119,6 +125,7 @@
             pendingByNumber[request.number] = request
         }
         request.owner = owner
+        request.ownerIncarnation = ownerClient.incarnationOrNull(owner)
         request.ownershipLostAtMs = NEVER_MS
         val progress = request.progress ?: if (request.mayHaveRun) JobProgress() else null
         val message = PeerMessage.Submit(
@@ -178,9 +185,14 @@
     internal fun openRequestsAt(owner: String): List<Long> =
         pending.values.filter { it.owner == owner }.map { it.number }
 
-    /** Resubmits all requests that are open at [owner], since messages on earlier connections may have been lost. */
+    /**
+     * Resubmits all requests that are open at [owner], since messages on earlier connections may have been lost. The same
+     * process still has the jobs that it has received; a restarted one may find their tasks running.
+     */
     internal fun onReconnected(owner: String) {
+        val incarnation = ownerClient.incarnationOrNull(owner)
         for (request in pending.values.filter { it.owner == owner }) {
+            if (incarnation == null || request.ownerIncarnation != incarnation) request.mayHaveRun = true
             send(request, owner)
             request.mayHaveRun = true
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -168,17 +168,12 @@
         val changed = listed != backends
         backends = listed
         if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.updateBackends(listed)
-        if (changed) backendRecipients().forEach { network.send(it, PeerMessage.Backends(listed)) }
+        if (changed) sendBackends()
     }
 
-    /** Instances that receive the list of backend servers: other owners and the preferred candidates for ownership. */
-    private fun backendRecipients(): List<String> {
-        val alive = network.views()
-            .filter { it.state == PeerState.ALIVE }
-            .sortedWith(compareBy(PeerMember.BY_PREFERENCE) { it.member })
-        val inOwnDomain = alive.filter { it.member.failureDomain == self.failureDomain }
-        val candidates = alive.take(OWNER_CANDIDATES) + inOwnDomain.take(OWNER_CANDIDATES)
-        return (alive.filter { it.owned.isNotEmpty() } + candidates).map { it.member.instance }.distinct()
+    private fun sendBackends() {
+        val message = PeerMessage.Backends(backends)
+        backendRecipients(self, network.views(), ownership.isPerDomain).forEach { network.send(it, message) }
     }
 
     /** Number of jobs of [queue] that wait for their first start under this instance's ownership. */
@@ -316,6 +311,11 @@
 
         override fun isAlive(instance: String): Boolean = instance == self.instance || network.isAlive(instance)
 
+        override fun incarnationOrNull(instance: String): Long? {
+            val member = if (instance == self.instance) self else network.memberOrNull(instance)
+            return member?.takeIf { it.isRegistered }?.number
+        }
+
         override fun submit(owner: String, message: PeerMessage.Submit) {
             if (owner == self.instance) onSubmit(self.instance, message) else network.send(owner, message)
         }
@@ -412,12 +412,6 @@
          */
         const val OVERFLOW_PERCENT = 75
 
-        /**
-         * Number of candidates for ownership that receive the list of backend servers: so many of the whole deployment
-         * and so many of this instance's failure domain.
-         */
-        const val OWNER_CANDIDATES = 3
-
         /** Time without a response of any backend server after which a failure domain counts as unreachable. */
         const val CONTACT_MS = 1_000L
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -75,12 +75,12 @@
 
     private fun nowMs() = elapsed.nowMs()
 
-    /** Accepts connections from peers. */
+    /** Accepts connections from peers. Throws [java.io.IOException] if the address can't be used. */
     public fun listen(host: String, port: Int) {
         val bootstrap = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(initializer(dialed = null))
-        server = bootstrap.bind(host, port).sync().channel()
+        server = listen(bootstrap, host, port)
     }
 
     /** Replaces the list of known instances; reachable peers that are not in [members] are kept. */
@@ -122,6 +122,9 @@
     public fun heartbeatOf(instance: String): PeerMessage.Heartbeat? =
         peers[instance]?.takeIf { it.state == PeerState.ALIVE }?.heartbeat
 
+    /** The last known incarnation of [instance]; null if the instance is unknown. */
+    public fun memberOrNull(instance: String): PeerMember? = peers[instance]?.member
+
     public fun isAlive(instance: String): Boolean = peers[instance]?.state == PeerState.ALIVE
 
     /**
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -17,6 +17,7 @@
     private val owners = linkedSetOf("a")
     private val alive = hashSetOf("a", "b")
     private var lessLoaded: String? = null
+    private var incarnation: Long? = 1
     private val ownerClient = object : OwnerClient {
         override fun ownerOrNull() = owners.firstOrNull()
 
@@ -24,6 +25,8 @@
 
         override fun isAlive(instance: String) = instance in alive
 
+        override fun incarnationOrNull(instance: String) = incarnation
+
         override fun lessLoadedOrNull(owner: String) = lessLoaded
 
         override fun submit(owner: String, message: PeerMessage.Submit) {
@@ -57,6 +60,24 @@
         results shouldContainExactly listOf(overload)
     }
 
+    /** Guards against a restarted owner that starts tasks beside the runs of its previous process. */
+    @Test
+    fun `a job that is submitted again to a restarted owner may have run`() {
+        submit()
+        incarnation = 2
+        entry.onReconnected("a")
+        sent.last().second.progress shouldBe JobProgress()
+    }
+
+    /** Guards against delaying a job that the owner never received, which starts only after a lease if it may run. */
+    @Test
+    fun `a job that is submitted again to the same process counts as new there`() {
+        submit()
+        entry.onReconnected("a")
+        sent.size shouldBe 2
+        sent.last().second.progress.shouldBeNull()
+    }
+
     /**
      * Guards against a stale refusal. In a large deployment, an owner replayed its recorded refusal for a job that
      * another owner had started meanwhile.
