Wait longer for runs on unreachable backend servers while a partition is likely

As after a release, the other owner extends the leases of runs whose jobs it does not know. When an instance was lost within the last three seconds, tasks now wait as long as that may take.

An instance that is about to claim a failure domain reads the list of backend servers at once. In the 7-machine deployment, a new owner knew none for 0.2 s after its claim and refused 18 jobs with an infinite predicted wait.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -18,6 +18,9 @@
 
     private val orphans = ArrayList<Orphan>()
 
+    /** Time at which another instance was last lost. */
+    var instanceLostAtMs = NEVER_MS
+
     fun onStartResult(command: StartCommand, result: StartResult, nowMs: Long) {
         val row = tables.backends[command.backend.id] ?: return
         val task = row.tasks[command.task]?.takeIf { it.run == command.run } ?: return
@@ -294,8 +297,7 @@
      * [isReleased], another owner may extend the lease of runs whose jobs it does not know until it stops them.
      */
     fun orphan(row: BackendRow, nowMs: Long, isReleased: Boolean) {
-        val extensionMs = if (isReleased) settings.unknownRunGraceMs + MAX_LEASE_MS else 0
-        val leaseEndMs = maxOf(row.leaseEndMs, nowMs) + extensionMs
+        val leaseEndMs = maxOf(row.leaseEndMs, nowMs) + if (isReleased || mayBeReplaced(nowMs)) extensionMs() else 0
         for (task in row.tasks.values.toList()) {
             row.release(task)
             if (!task.job.ended) task.state = TaskState.UNCERTAIN
@@ -304,6 +306,15 @@
         }
     }
 
+    /** How long after the end of this owner's lease a run may be active if another owner extends the lease. */
+    private fun extensionMs(): Long = settings.unknownRunGraceMs + MAX_LEASE_MS
+
+    /**
+     * Whether this instance may be on the side of a partition that has lost its backend servers to another owner. That
+     * owner extends the leases of runs whose jobs it does not know until it stops them.
+     */
+    private fun mayBeReplaced(nowMs: Long): Boolean = nowMs - instanceLostAtMs < REPLACEMENT_MS
+
     /** A backend server that this instance no longer controls has acknowledged [command], so the run ends soon. */
     fun onOrphanStopped(command: StopCommand, nowMs: Long) {
         orphans.filter { it.task.key == command.task && it.run == command.run }
@@ -314,7 +325,8 @@
         for (row in tables.backends.values) {
             stopUnknownRuns(row, nowMs)
             row.unclaimedCompletions.values.removeIf { nowMs - it > settings.unclaimedCompletionMs }
-            if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > row.leaseEndMs) {
+            val runsEndMs = row.leaseEndMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
+            if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > runsEndMs) {
                 log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
                 row.tasks.values.toList().forEach(::requeue)
             }
@@ -349,5 +361,8 @@
         /** A short pause suffices, since the next poll reports the runs that use the capacity. */
         const val NO_CAPACITY_PAUSE_MS = 30L
         const val STOP_RETRY_MS = 500L
+
+        /** Longer than a lease, the detection of a silent owner and a takeover together. */
+        const val REPLACEMENT_MS = 3_000L
     }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -184,12 +184,13 @@
      * Withdraws the jobs of an instance that is unreachable. Returns the progress of each, to be sent to the instance
      * in case it still receives messages.
      */
-    public fun onInstanceLost(
-        instance: String,
-    ): List<Triple<JobOrigin, JobId, JobProgress>> = jobsOf(instance).map { (job, origin) ->
-        val progress = progressOf(job)
-        cancel(job.request.id, origin, "instance $instance is lost")
-        Triple(origin, job.request.id, progress)
+    public fun onInstanceLost(instance: String): List<Triple<JobOrigin, JobId, JobProgress>> {
+        replies.instanceLostAtMs = nowMs()
+        return jobsOf(instance).map { (job, origin) ->
+            val progress = progressOf(job)
+            cancel(job.request.id, origin, "instance $instance is lost")
+            Triple(origin, job.request.id, progress)
+        }
     }
 
     /** Withdraws the jobs of [instance] that are not among its open [requests]: it has sent them to another owner. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -149,11 +149,12 @@
     }
 
     /**
-     * Owners watch the list of backend servers. If the store doesn't respond to an owner, the most senior other
+     * Owners watch the list of backend servers, and so do instances that are about to claim a failure domain, since a new
+     * owner refuses all jobs until it knows the list. If the store doesn't respond to an owner, the most senior other
      * instance that reaches the store watches the list and sends it to the owner.
      */
     private fun shouldWatchBackends(peers: List<PeerView>): Boolean {
-        if (dispatcher.ownedDomains.isNotEmpty()) return true
+        if (dispatcher.ownedDomains.isNotEmpty() || ownership.isClaiming) return true
         val alive = peers.filter { it.state == PeerState.ALIVE }
         val needsHelp = alive.any {
             it.owned.isNotEmpty() && network.heartbeatOf(it.member.instance)?.storeReachable == false
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -61,6 +61,9 @@
     /** Whether each failure domain has an owner of its own, as deployments need that are too large for a single one. */
     public var isPerDomain: Boolean = false
 
+    /** Whether this instance is about to claim a failure domain that has no owner. */
+    public val isClaiming: Boolean get() = unownedSinceMs != null
+
     /** Tokens of the owned failure domains. */
     public val owned: Map<String, Long>
         get() = domains.values.mapNotNull { domain -> domain.ownedToken?.let { domain.name to it } }.toMap()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -253,6 +253,32 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /**
+     * Guards against a second run in a partition: the owner on the other side extends the leases of runs that it does not
+     * know, on backend servers that this owner can no longer reach, and stops them only after a grace period.
+     */
+    @Test
+    fun `when instances are lost, tasks of unreachable backend servers wait for another owner to stop their runs`() {
+        val sim = jobInTwoDomains()
+        val cut = sim.backends.values.filter { it.info.failureDomain == "d2" }
+        cut.forEach { it.partitioned = true }
+        sim.after(400) { sim.dispatcher.onInstanceLost("i2") }
+        sim.after(500) {
+            cut.forEach {
+                it.token = 2
+                it.leaseUntilMs = sim.nowMs + 1_400
+            }
+        }
+        sim.after(1_500) {
+            cut.forEach { backend ->
+                backend.running.toList().forEach { (task, run) -> backend.end(task, run, RunOutcome.STOPPED) }
+            }
+        }
+        sim.run(untilMs = 15_000)
+        sim.concurrentRuns.shouldBeEmpty()
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
     /** Guards against waiting for the lease of runs that were stopped when their failure domain was released. */
     @Test
     fun `tasks in a released failure domain start again as soon as their runs are stopped`() {
