Name a successor when an owner releases a failure domain

An owner that stops reports the domain as released, and every candidate that did not see a better one claimed it at once; each claim was fenced by the next and repeated, since the report still stood. Instances of a domain did not see each other when the preferred candidates were gone.

The owner that releases a domain now names its successor; others claim it by the store only, when the successor has had time to write its record. A claim that was fenced is not repeated on the same report. Instances monitor candidates of their domain until two of them are available, not only the first two.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -207,6 +207,7 @@
             configuration?.version ?: 0,
             ownership.owned,
             ownership.released,
+            ownership.successors,
             if (dispatcher.ownedDomains.isEmpty()) 0 else dispatcher.loadPercent(),
             if (dispatcher.ownedDomains.isEmpty()) emptyMap() else otherOwnerLoads(),
             store.isReachable,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -43,6 +43,12 @@
         /** Token under which this instance released the domain; null if it did not, or owns it again. */
         var releasedToken: Long? = null
 
+        /** Instance to which this instance released the domain; null if it knew none. */
+        var successor: String? = null
+
+        /** Highest token that this instance has used. */
+        var usedToken = 0L
+
         /** Time since which the domain has had no owner that this instance reaches; null while it has one. */
         var unownedSinceMs: Long? = null
     }
@@ -72,6 +78,12 @@
     public val released: Map<String, Long>
         get() = domains.values.mapNotNull { domain -> domain.releasedToken?.let { domain.name to it } }.toMap()
 
+    /** Instances to which this instance has released failure domains, by failure domain. */
+    public val successors: Map<String, String>
+        get() = domains.values.filter { it.releasedToken != null }
+            .mapNotNull { domain -> domain.successor?.let { domain.name to it } }
+            .toMap()
+
     private fun nowMs() = elapsed.nowMs()
 
     /** Sets the registration number that the store has assigned to this incarnation. */
@@ -153,11 +165,23 @@
         }
         released.forEach {
             it.releasedToken = it.ownedToken
+            it.successor = successorOrNull(it)
             lose(it.name, reason)
         }
         store.writeOwners(records) { onWritten(records, it, claims = false) }
     }
 
+    /**
+     * The best candidate for [domain]. It is chosen by the instance that releases the domain, since the candidates of a
+     * large deployment do not see all of each other, and would claim the domain from each other.
+     */
+    private fun successorOrNull(domain: Domain): String? =
+        peers.filter { it.state == PeerState.ALIVE && !it.leaving }
+            .minWithOrNull(
+                compareByDescending<PeerView> { rank(domain, it.member.failureDomain, it.owned.size) }
+                    .thenBy(PeerMember.BY_PREFERENCE) { it.member },
+            )?.member?.instance
+
     /** Releases all failure domains and stops claiming any. */
     public fun leave() {
         leaving = true
@@ -191,14 +215,13 @@
         for (domain in domains.values) {
             domain.unownedSinceMs = if (isUnowned(domain)) domain.unownedSinceMs ?: nowMs() else null
         }
+        domains.values.filter { isUnowned(it) && isHandedOver(it) }.forEach { acquire(it, nextToken(it)) }
         val unowned = domains.values.filter { isUnowned(it) && isCandidate(it) }
         if (unowned.isEmpty()) {
             unownedSinceMs = null
             return
         }
         val since = unownedSinceMs ?: nowMs().also { unownedSinceMs = it }
-        unowned.filter(::isHandedOver).forEach { acquire(it, nextToken(it)) }
-        if (unowned.all { it.ownedToken != null }) return
         if (storeCallInFlight || nowMs() < nextStoreCallMs) return
         storeCallInFlight = true
         store.readOwners { owners ->
@@ -214,12 +237,17 @@
     }
 
     /**
-     * Whether the last owner reports by itself that it has released [domain]. It can then be claimed before its record
-     * in the store is updated.
+     * Whether the last owner reports by itself that it has released [domain] to this instance. It can then be claimed
+     * before its record in the store is updated.
      */
     private fun isHandedOver(domain: Domain): Boolean {
-        val token = peers.filter { it.state == PeerState.ALIVE }.maxOfOrNull { it.released[domain.name] ?: 0 } ?: 0
-        return token > 0 && token >= maxOf(domain.record?.token ?: 0, domain.highestToken)
+        val previous = peers.filter { it.state == PeerState.ALIVE && domain.name in it.released }
+            .maxByOrNull { it.released[domain.name] ?: 0 } ?: return false
+        val token = previous.released[domain.name] ?: 0
+        // After a claim with a higher token was fenced, another instance owns the domain.
+        val isLast = token >= maxOf(domain.record?.token ?: 0, domain.highestToken, domain.usedToken)
+        val successor = previous.successors[domain.name]
+        return isLast && if (successor == null) isCandidate(domain) else successor == self.instance
     }
 
     private fun isUnowned(domain: Domain): Boolean {
@@ -279,7 +307,7 @@
      */
     private fun isClaimable(domain: Domain): Boolean {
         val record = domain.record ?: return true
-        if (record.owner.isEmpty()) return true
+        if (record.owner.isEmpty()) return !isReservedForOther(domain)
         if (record.owner == self.instance && record.ownerNumber < number) return true
         val owner = peers.firstOrNull { it.member.instance == record.owner }
         if (owner?.state == PeerState.ALIVE && owner.member.number > record.ownerNumber) return true
@@ -287,6 +315,13 @@
         return nowMs() - (domain.changedAtMs ?: return false) >= staleMs
     }
 
+    /** Whether the last owner has released [domain] to another instance, which needs a moment to write its record. */
+    private fun isReservedForOther(domain: Domain): Boolean {
+        val successor = peers.filter { it.state == PeerState.ALIVE }.firstNotNullOfOrNull { it.successors[domain.name] }
+        val unownedMs = nowMs() - (domain.unownedSinceMs ?: nowMs())
+        return successor != null && successor != self.instance && unownedMs < settings.staleMs
+    }
+
     /** Claims without the store: the owner must be unreachable and most instances of the failure domain reachable. */
     private fun claimByQuorum(since: Long) {
         if (leaving) return
@@ -316,7 +351,7 @@
     /** A token that is higher than all known ones and unique among the instances by its low digits. */
     private fun nextToken(domain: Domain): Long {
         val known =
-            maxOf(domain.record?.token ?: 0, domain.ownedToken ?: 0, domain.releasedToken ?: 0, domain.highestToken)
+            maxOf(domain.record?.token ?: 0, domain.ownedToken ?: 0, domain.usedToken, domain.highestToken)
         return (known / settings.tokenStep + 1) * settings.tokenStep + settings.tokenSuffix
     }
 
@@ -327,6 +362,7 @@
     private fun acquire(domain: Domain, token: Long) {
         if (domain.ownedToken == token) return
         domain.ownedToken = token
+        domain.usedToken = maxOf(domain.usedToken, token)
         domain.releasedToken = null
         renewedAtMs = nowMs()
         log.event("owner", "claimed", "failureDomain", domain.name, "token", token, "recordVersion", domain.version)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -16,6 +16,7 @@
      *
      * @property owned failure domains that the sender owns, with their tokens.
      * @property released failure domains that the sender has released for the next owner, with their tokens.
+     * @property successors instances to which the sender has released them.
      * @property loadPercent demand of running and queued tasks as a percentage of the capacity under the sender's
      *   control.
      * @property ownerLoads [loadPercent] of the other owners by instance, as an owner knows it. Other instances hear
@@ -29,6 +30,7 @@
         val configurationVersion: Long = 0,
         val owned: Map<String, Long> = emptyMap(),
         val released: Map<String, Long> = emptyMap(),
+        val successors: Map<String, String> = emptyMap(),
         val loadPercent: Int = 0,
         val ownerLoads: Map<String, Int> = emptyMap(),
         val storeReachable: Boolean = true,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -115,9 +115,12 @@
     public fun views(): List<PeerView> {
         val own = self().instance
         return peers.values.filter { it.member.instance != own }
-            .map { PeerView(it.member, it.state, it.heartbeat.owned, it.heartbeat.leaving, it.heartbeat.released) }
+            .map { view(it.member, it.state, it.heartbeat) }
     }
 
+    private fun view(member: PeerMember, state: PeerState, last: PeerMessage.Heartbeat) =
+        PeerView(member, state, last.owned, last.leaving, last.released, last.successors)
+
     /** Last heartbeat of [instance]; null unless it is alive. */
     public fun heartbeatOf(instance: String): PeerMessage.Heartbeat? =
         peers[instance]?.takeIf { it.state == PeerState.ALIVE }?.heartbeat
@@ -252,8 +255,13 @@
         val byPreference = others.sortedWith(compareBy(PeerMember.BY_PREFERENCE) { it.member })
         val monitored = HashSet<Peer>()
         monitored += byPreference.take(settings.monitoredPreferred)
-        val inOwnDomain = byPreference.filter { it.member.failureDomain == own.failureDomain }
-        monitored += inOwnDomain.take(settings.monitoredInDomain)
+        var available = 0
+        for (peer in byPreference) {
+            if (peer.member.failureDomain != own.failureDomain) continue
+            if (available == settings.monitoredInDomain) break
+            monitored += peer
+            if (peer.state == PeerState.ALIVE && !peer.heartbeat.leaving) available++
+        }
         monitored += others.filter { it.state == PeerState.ALIVE && it.heartbeat.owned.isNotEmpty() }
         return monitored
     }
@@ -391,7 +399,8 @@
  * @property fullMeshSize maximum number of peers that are all monitored. In larger deployments only the preferred
  *   candidates for ownership and the owners are, so that the load of an instance does not grow with the deployment.
  * @property monitoredPreferred number of preferred candidates of the whole deployment that are monitored.
- * @property monitoredInDomain number of preferred candidates of the own failure domain that are monitored.
+ * @property monitoredInDomain number of available candidates of the own failure domain that are monitored, together
+ *   with those preferred to them, which may become available again.
  */
 public data class PeerNetworkSettings(
     val heartbeatIntervalMs: Long = 100,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerView.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerView.kt
@@ -17,6 +17,7 @@
  *
  * @property owned failure domains that the peer owns according to its last heartbeat, with their tokens.
  * @property released failure domains that the peer has released, with the tokens under which it owned them.
+ * @property successors instances to which the peer has released them.
  */
 public data class PeerView(
     public val member: PeerMember,
@@ -24,4 +25,5 @@
     public val owned: Map<String, Long>,
     public val leaving: Boolean,
     public val released: Map<String, Long> = emptyMap(),
+    public val successors: Map<String, String> = emptyMap(),
 )
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -59,7 +59,8 @@
             lost += failureDomain
         }
 
-        fun view() = PeerView(member, state, ownership.owned, leaving = false, released = ownership.released)
+        fun view() =
+            PeerView(member, state, ownership.owned, leaving = false, ownership.released, ownership.successors)
     }
 
     private val a = Node("a", "d1", number = 1)
@@ -162,6 +163,41 @@
         b.ownership.owned.keys shouldBe setOf("d1", "d2")
     }
 
+    /**
+     * Guards against candidates that do not see each other and claim a released failure domain from each other. With 47
+     * instances, two of them did so for 2.7 s while backend servers fenced one after the other.
+     */
+    @Test
+    fun `an owner that stops is replaced by one of several candidates that do not see each other`() {
+        val d = Node("d", "d2", number = 4)
+        val all = listOf(a, b, c, d)
+        all.forEach { it.ownership.isPerDomain = true }
+        val everyone = { node: Node -> all.filter { it !== node }.map { it.view() } }
+        run(500, nodes = all, sees = everyone)
+        b.ownership.owned.keys shouldBe setOf("d2")
+        b.ownership.leave()
+        run(200, nodes = listOf(c, d)) { node ->
+            val other = if (node === c) d else c
+            listOf(b.view().copy(leaving = true), seen(other, PeerState.SILENT).copy(owned = emptyMap()))
+        }
+        c.ownership.owned.keys shouldBe setOf("d2")
+        d.ownership.owned.shouldBeEmpty()
+    }
+
+    /** Guards against claiming a released failure domain again each time that another instance has fenced the claim. */
+    @Test
+    fun `an instance that was fenced does not claim the released failure domain again`() {
+        run(500, sees = ::all)
+        a.ownership.leave()
+        val left = { _: Node -> listOf(a.view().copy(leaving = true)) }
+        run(100, nodes = listOf(b), sees = left)
+        val token = b.ownership.owned.getValue("d1")
+        rows["d1"] = VersionedOwner(OwnerRecord("d1", "c", 3, token + 1), ++version)
+        b.ownership.onFenced("d1")
+        run(300, nodes = listOf(b), sees = left)
+        b.ownership.owned.keys shouldBe setOf("d2")
+    }
+
     @Test
     fun `after a partition a single owner remains`() {
         run(500, sees = ::all)
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -167,6 +167,24 @@
         onLoop { owner.events.toList() }.none { "life peer b" in it && "is SILENT" in it } shouldBe true
     }
 
+    /**
+     * Guards against instances that do not see each other because the preferred candidates of their failure domain are
+     * gone. Each of them then takes itself for the only candidate.
+     */
+    @Test
+    fun `in a large deployment the remaining instances of a failure domain see each other`() {
+        val a = Peer("a", 201)
+        val b = Peer("b", 202)
+        val gone = List(13) { PeerMember("x$it", "d", "127.0.0.1", 1, 1L + it) }
+        onLoop {
+            a.network.setMembers(gone + b.member)
+            b.network.setMembers(gone + a.member)
+            clock += 1_000.milliseconds
+            a.network.tick()
+        }
+        await { a.network.isAlive("b") && b.network.isAlive("a") }
+    }
+
     @Test
     fun `a changed heartbeat is sent with the next tick`() {
         val a = Peer("a", 1)
