Split three files and wrap comments to the line length

Settings of the peer network, the knowledge about one failure domain and the sharing of the list of backend servers have files of their own. No change of behaviour.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -49,7 +49,8 @@
         var ownerIncarnation: Long? = null
 
         /**
-         * Number of the request at [owner]. It changes with the owner, so that replies to earlier attempts are ignored.
+         * Number of the request at [owner]. It changes with the owner, so that replies to earlier attempts are
+         * ignored.
          */
         var number = 0L
 
@@ -186,8 +187,8 @@
         pending.values.filter { it.owner == owner }.map { it.number }
 
     /**
-     * Resubmits all requests that are open at [owner], since messages on earlier connections may have been lost. The same
-     * process still has the jobs that it has received; a restarted one may find their tasks running.
+     * Resubmits all requests that are open at [owner], since messages on earlier connections may have been lost. The
+     * same process still has the jobs that it has received; a restarted one may find their tasks running.
      */
     internal fun onReconnected(owner: String) {
         val incarnation = ownerClient.incarnationOrNull(owner)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -131,7 +131,8 @@
     private fun ownershipTick() {
         ownership.isPerDomain = network.members().size >= settings.perDomainOwnersFrom
         val peers = network.views()
-        // Until the size of the deployment is known, an instance may claim failure domains that it has to release again.
+        // Until the size of the deployment is known, an instance may claim failure domains that it has to release
+        // again.
         if (isMembershipKnown || !store.isReachable) {
             ownership.tick(peers, dispatcher.openJobs) { dispatcher.hasRecentContact(it, CONTACT_MS) }
         }
@@ -149,21 +150,12 @@
     }
 
     /**
-     * Owners watch the list of backend servers, and so do instances that are about to claim a failure domain, since a new
-     * owner refuses all jobs until it knows the list. If the store doesn't respond to an owner, the most senior other
-     * instance that reaches the store watches the list and sends it to the owner.
+     * Owners watch the list of backend servers, and so do instances that are about to claim a failure domain, since a
+     * new owner refuses all jobs until it knows the list.
      */
-    private fun shouldWatchBackends(peers: List<PeerView>): Boolean {
-        if (dispatcher.ownedDomains.isNotEmpty() || ownership.isClaiming) return true
-        val alive = peers.filter { it.state == PeerState.ALIVE }
-        val needsHelp = alive.any {
-            it.owned.isNotEmpty() && network.heartbeatOf(it.member.instance)?.storeReachable == false
-        }
-        if (!needsHelp || !store.isReachable) return false
-        return alive.none {
-            it.member.number < self.number && network.heartbeatOf(it.member.instance)?.storeReachable == true
-        }
-    }
+    private fun shouldWatchBackends(peers: List<PeerView>): Boolean =
+        dispatcher.ownedDomains.isNotEmpty() || ownership.isClaiming ||
+            (store.isReachable && watchesBackendsForOthers(self, peers, network::heartbeatOf))
 
     private fun onBackends(listed: List<BackendInfo>) {
         val changed = listed != backends
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -32,29 +32,8 @@
     private val listener: OwnershipListener,
     private val log: EventLog,
 ) {
-    private class Domain(val name: String) {
-        var version = 0L
-        var record: OwnerRecord? = null
-
-        /** Time of the last observed change of the record; null before the first read. */
-        var changedAtMs: Long? = null
-        var ownedToken: Long? = null
-
-        /** Token under which this instance released the domain; null if it did not, or owns it again. */
-        var releasedToken: Long? = null
-
-        /** Instance to which this instance released the domain; null if it knew none. */
-        var successor: String? = null
-
-        /** Highest token that this instance has used. */
-        var usedToken = 0L
-
-        /** Time since which the domain has had no owner that this instance reaches; null while it has one. */
-        var unownedSinceMs: Long? = null
-    }
-
     private val elapsed = ElapsedClock(clock)
-    private val domains = failureDomains.associateWith { Domain(it) }
+    private val domains = failureDomains.associateWith { OwnershipDomain(it) }
     private var number = self.number
     private var peers: List<PeerView> = emptyList()
     private var storeCallInFlight = false
@@ -133,11 +112,11 @@
     }
 
     /** Owned failure domains that another instance should own, with that instance. */
-    private fun betterOwners(): Map<Domain, PeerView> {
+    private fun betterOwners(): Map<OwnershipDomain, PeerView> {
         val mine = domains.values.filter { it.ownedToken != null }
         if (mine.isEmpty()) return emptyMap()
         val others = peers.filter { it.state == PeerState.ALIVE && !it.leaving }
-        val better = HashMap<Domain, PeerView>()
+        val better = HashMap<OwnershipDomain, PeerView>()
         for (domain in mine) {
             others.filter { isBetterFor(domain, it, mine.size) }
                 .minWithOrNull(compareBy(PeerMember.BY_PREFERENCE) { it.member })
@@ -146,7 +125,7 @@
         return better
     }
 
-    private fun isBetterFor(domain: Domain, peer: PeerView, ownedCount: Int): Boolean {
+    private fun isBetterFor(domain: OwnershipDomain, peer: PeerView, ownedCount: Int): Boolean {
         val theirs = rank(domain, peer.member.failureDomain, peer.owned.size)
         val mine = rank(domain, self.failureDomain, ownedCount)
         val isStronger = peer.member.strength * WEAKER_FACTOR > self.strength * STRONGER_FACTOR
@@ -157,7 +136,7 @@
     }
 
     /** Releases failure domains so that another instance can claim them immediately. */
-    private fun release(candidates: Collection<Domain>, reason: String) {
+    private fun release(candidates: Collection<OwnershipDomain>, reason: String) {
         val released = candidates.filter { it.ownedToken != null }
         if (released.isEmpty()) return
         val records = released.map {
@@ -172,10 +151,10 @@
     }
 
     /**
-     * The best candidate for [domain]. It is chosen by the instance that releases the domain, since the candidates of a
-     * large deployment do not see all of each other, and would claim the domain from each other.
+     * The best candidate for [domain]. It is chosen by the instance that releases the domain, since the candidates of
+     * a large deployment do not see all of each other, and would claim the domain from each other.
      */
-    private fun successorOrNull(domain: Domain): String? =
+    private fun successorOrNull(domain: OwnershipDomain): String? =
         peers.filter { it.state == PeerState.ALIVE && !it.leaving }
             .minWithOrNull(
                 compareByDescending<PeerView> { rank(domain, it.member.failureDomain, it.owned.size) }
@@ -240,7 +219,7 @@
      * Whether the last owner reports by itself that it has released [domain] to this instance. It can then be claimed
      * before its record in the store is updated.
      */
-    private fun isHandedOver(domain: Domain): Boolean {
+    private fun isHandedOver(domain: OwnershipDomain): Boolean {
         val previous = peers.filter { it.state == PeerState.ALIVE && domain.name in it.released }
             .maxByOrNull { it.released[domain.name] ?: 0 } ?: return false
         val token = previous.released[domain.name] ?: 0
@@ -250,13 +229,13 @@
         return isLast && if (successor == null) isCandidate(domain) else successor == self.instance
     }
 
-    private fun isUnowned(domain: Domain): Boolean {
+    private fun isUnowned(domain: OwnershipDomain): Boolean {
         if (domain.ownedToken != null) return false
         return peers.none { it.state == PeerState.ALIVE && domain.name in it.owned }
     }
 
     /** Whether this instance is the one to claim [domain] if it has no owner; see [rank]. */
-    private fun isCandidate(domain: Domain): Boolean {
+    private fun isCandidate(domain: OwnershipDomain): Boolean {
         if (isPerDomain && domain.name != self.failureDomain && !mayHaveNoInstance(domain)) return false
         val mine = rank(domain, self.failureDomain, owned.size)
         return peers.none {
@@ -267,17 +246,17 @@
     }
 
     /**
-     * Whether [domain] has been without an owner for so long that it may have no instance of its own. When all instances
-     * start at the same time, those of the domain need a moment to be seen.
+     * Whether [domain] has been without an owner for so long that it may have no instance of its own. When all
+     * instances start at the same time, those of the domain need a moment to be seen.
      */
-    private fun mayHaveNoInstance(domain: Domain): Boolean =
+    private fun mayHaveNoInstance(domain: OwnershipDomain): Boolean =
         nowMs() - (domain.unownedSinceMs ?: nowMs()) >= settings.otherDomainWaitMs
 
     /**
-     * Rank of a candidate for [domain], higher is better. A single owner is the owner of the most failure domains; with
-     * an owner per failure domain, instances located there are preferred.
+     * Rank of a candidate for [domain], higher is better. A single owner is the owner of the most failure domains;
+     * with an owner per failure domain, instances located there are preferred.
      */
-    private fun rank(domain: Domain, location: String, ownedCount: Int): Int = when {
+    private fun rank(domain: OwnershipDomain, location: String, ownedCount: Int): Int = when {
         !isPerDomain -> ownedCount
         location == domain.name -> 1
         else -> 0
@@ -305,7 +284,7 @@
      * Whether [domain] has no record, or its record shows that the last owner has released it, has restarted or no
      * longer renews it.
      */
-    private fun isClaimable(domain: Domain): Boolean {
+    private fun isClaimable(domain: OwnershipDomain): Boolean {
         val record = domain.record ?: return true
         if (record.owner.isEmpty()) return !isReservedForOther(domain)
         if (record.owner == self.instance && record.ownerNumber < number) return true
@@ -316,7 +295,7 @@
     }
 
     /** Whether the last owner has released [domain] to another instance, which needs a moment to write its record. */
-    private fun isReservedForOther(domain: Domain): Boolean {
+    private fun isReservedForOther(domain: OwnershipDomain): Boolean {
         val successor = peers.filter { it.state == PeerState.ALIVE }.firstNotNullOfOrNull { it.successors[domain.name] }
         val unownedMs = nowMs() - (domain.unownedSinceMs ?: nowMs())
         return successor != null && successor != self.instance && unownedMs < settings.staleMs
@@ -349,17 +328,17 @@
     }
 
     /** A token that is higher than all known ones and unique among the instances by its low digits. */
-    private fun nextToken(domain: Domain): Long {
+    private fun nextToken(domain: OwnershipDomain): Long {
         val known =
             maxOf(domain.record?.token ?: 0, domain.ownedToken ?: 0, domain.usedToken, domain.highestToken)
         return (known / settings.tokenStep + 1) * settings.tokenStep + settings.tokenSuffix
     }
 
     /** Highest token of the domain that any peer owns or has released. */
-    private val Domain.highestToken: Long
+    private val OwnershipDomain.highestToken: Long
         get() = peers.maxOfOrNull { maxOf(it.owned[name] ?: 0, it.released[name] ?: 0) } ?: 0
 
-    private fun acquire(domain: Domain, token: Long) {
+    private fun acquire(domain: OwnershipDomain, token: Long) {
         if (domain.ownedToken == token) return
         domain.ownedToken = token
         domain.usedToken = maxOf(domain.usedToken, token)
@@ -403,7 +382,7 @@
         }
     }
 
-    private fun yieldToRecord(domain: Domain) {
+    private fun yieldToRecord(domain: OwnershipDomain) {
         val mine = domain.ownedToken ?: return
         val record = domain.record ?: return
         if (record.owner != self.instance &&
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/BackendRecipientsTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/BackendListSharingTest.kt
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test
 
 /** Which instances know the backend servers when an owner or a failure domain is lost. */
-class BackendRecipientsTest {
+class BackendListSharingTest {
     private val self = PeerMember("d1-0", "d1", "h", 1, number = 1)
 
     private fun peers(domains: Int, perDomain: Int): List<PeerView> = (1..domains).flatMap { domain ->
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -57,8 +57,8 @@
     }
 
     /**
-     * Guards against a second run within the lease, and against polls without a response that extend the lease, so that
-     * the tasks never start again.
+     * Guards against a second run within the lease, and against polls without a response that extend the lease, so
+     * that the tasks never start again.
      */
     @Test
     fun `tasks of an unreachable backend server start elsewhere only after the lease`() {
@@ -254,8 +254,8 @@
     }
 
     /**
-     * Guards against a second run in a partition: the owner on the other side extends the leases of runs that it does not
-     * know, on backend servers that this owner can no longer reach, and stops them only after a grace period.
+     * Guards against a second run in a partition: the owner on the other side extends the leases of runs that it does
+     * not know, on backend servers that this owner can no longer reach, and stops them only after a grace period.
      */
     @Test
     fun `when instances are lost, tasks of unreachable backend servers wait for another owner to stop their runs`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -164,8 +164,8 @@
     }
 
     /**
-     * Guards against candidates that do not see each other and claim a released failure domain from each other. With 47
-     * instances, two of them did so for 2.7 s while backend servers fenced one after the other.
+     * Guards against candidates that do not see each other and claim a released failure domain from each other. With
+     * 47 instances, two of them did so for 2.7 s while backend servers fenced one after the other.
      */
     @Test
     fun `an owner that stops is replaced by one of several candidates that do not see each other`() {
@@ -212,8 +212,8 @@
     }
 
     /**
-     * Guards against claiming the failure domains of instances that start a moment later, after all have lost power. The
-     * claims were released two seconds later, and the runs there were lost.
+     * Guards against claiming the failure domains of instances that start a moment later, after all have lost power.
+     * The claims were released two seconds later, and the runs there were lost.
      */
     @Test
     fun `with an owner per failure domain an instance leaves other domains to instances that start with it`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -69,8 +69,8 @@
             clock += PeerNetworkSettings().heartbeatIntervalMs.milliseconds
             peers.forEach { it.network.tick() }
         }
-        // When the probes have arrived, all messages sent before them have arrived, too. Unlike a message to one peer, a
-        // broadcast does not change the heartbeats.
+        // When the probes have arrived, all messages sent before them have arrived, too. Unlike a message to one peer,
+        // a broadcast does not change the heartbeats.
         val counts = peers.map { it.received.size }
         onLoop { peers.forEach { it.network.broadcast(PROBE) } }
         await {
@@ -137,7 +137,7 @@
         follower.stateOf(owner) shouldBe PeerState.ALIVE
     }
 
-    /** Guards against runs of a lost instance that continue until its next heartbeat of the long interval is overdue. */
+    /** Guards against runs of a lost instance that continue until a heartbeat of the long interval is overdue. */
     @Test
     fun `an instance that submits a job to a distant owner counts as silent as soon as any other`() {
         val owner = Peer("a", 1).apply { heartbeat = heartbeat.copy(owned = mapOf("d" to 1L)) }
