Check the announced interval without other messages in between

The test of a former partner passed with the fault that it guards against, because the messages that synchronise the test also count as signs of life. It now sends heartbeats only; the seeded fault fails it.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -162,9 +162,17 @@
         connect(owner, follower, others = 13)
         onLoop { follower.partners = setOf("a") }
         advance(ticks = 10, owner, follower)
-        onLoop { follower.partners = emptySet() }
-        advance(ticks = 30, owner, follower)
-        onLoop { owner.events.toList() }.none { "life peer b" in it && "is SILENT" in it } shouldBe true
+        val before = owner.heartbeatsFrom(follower)
+        onLoop {
+            follower.partners = emptySet()
+            repeat(SILENT_FOLLOWER_TICKS) {
+                clock += PeerNetworkSettings().heartbeatIntervalMs.milliseconds
+                follower.network.tick()
+            }
+        }
+        await { owner.heartbeatsFrom(follower) > before }
+        val last = owner.received.map { it.second }.filterIsInstance<PeerMessage.Heartbeat>().last()
+        last.intervalMs shouldBe PeerNetworkSettings().distantHeartbeatIntervalMs
     }
 
     /**
@@ -217,6 +225,9 @@
 
         /** More than an instance that owns nothing may stay silent, and less than an instance of the long interval. */
         const val SILENT_FOLLOWER_MS = 800L
+
+        /** Ticks within which an instance that owns nothing must send a heartbeat before it counts as silent. */
+        const val SILENT_FOLLOWER_TICKS = 4
         val PROBE = PeerMessage.OpenRequests(emptyList())
     }
 }
