Hand jobs over before releasing several failure domains at once

An owner of all failure domains that stops or yields reported them as lost one after the other, and only the last report handed its jobs over. Since a release stops the runs of jobs that stay, the first reports would have stopped runs that the next owner adopts. All domains that are lost together are now marked first, so that the jobs are handed over with the first report. Found by reading the change; tests in OwnershipTest.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -220,8 +220,7 @@
         }
 
         override fun onLost(failureDomain: String) {
-            val isLast = dispatcher.ownedDomains == setOf(failureDomain)
-            if (isLast) {
+            if (ownership.owned.isEmpty()) {
                 val moved = dispatcher.handOver()
                 dispatcher.release(failureDomain)
                 network.sendHeartbeatNow()
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -86,13 +86,16 @@
     }
 
     private fun yieldToBetterTokens() {
+        val lost = HashMap<OwnershipDomain, String>()
         for (peer in peers) {
             if (peer.state != PeerState.ALIVE) continue
             for ((name, token) in peer.owned) {
-                val mine = domains[name]?.ownedToken ?: continue
-                if (token > mine) lose(name, "peer ${peer.member.instance} has token $token")
+                val domain = domains[name] ?: continue
+                val mine = domain.ownedToken ?: continue
+                if (token > mine) lost[domain] = "peer ${peer.member.instance} has token $token"
             }
         }
+        lose(lost)
     }
 
     /** Releases failure domains to a better owner: the strongest, or, after a partition, the owner of the most. */
@@ -145,8 +148,8 @@
         released.forEach {
             it.releasedToken = it.ownedToken
             it.successor = successorOrNull(it)
-            lose(it.name, reason)
         }
+        lose(released.associateWith { reason })
         store.writeOwners(records) { onWritten(records, it, claims = false) }
     }
 
@@ -169,15 +172,22 @@
 
     /** A backend server of [failureDomain] has rejected a command or a poll since it has received a higher token. */
     public fun onFenced(failureDomain: String) {
-        if (domains[failureDomain]?.ownedToken != null) lose(failureDomain, "fenced by a backend server")
+        domains[failureDomain]?.takeIf { it.ownedToken != null }?.let { lose(it, "fenced by a backend server") }
         unownedSinceMs = null
     }
 
-    private fun lose(name: String, reason: String) {
-        val domain = domains.getValue(name)
-        log.event("owner", "lost", "failureDomain", name, "token", domain.ownedToken, "reason", reason)
-        domain.ownedToken = null
-        listener.onLost(name)
+    private fun lose(domain: OwnershipDomain, reason: String) = lose(mapOf(domain to reason))
+
+    /**
+     * Marks the failure domains in [reasons] as lost, then reports each. When the first is reported, none of them
+     * counts as owned, so that the listener can tell whether any remains.
+     */
+    private fun lose(reasons: Map<OwnershipDomain, String>) {
+        for ((domain, reason) in reasons) {
+            log.event("owner", "lost", "failureDomain", domain.name, "token", domain.ownedToken, "reason", reason)
+            domain.ownedToken = null
+        }
+        reasons.keys.forEach { listener.onLost(it.name) }
     }
 
     private fun renew(hasContact: (String) -> Boolean?) {
@@ -375,21 +385,23 @@
                         result.owners[name] ?: domains.getValue(name).let { VersionedOwner(it.record, it.version) }
                     },
                 )
-                domains.values.forEach(::yieldToRecord)
+                yieldToRecords()
             }
 
             OwnerWriteResult.Unavailable, OwnerWriteResult.Unknown -> nextStoreCallMs = nowMs() + settings.retryMs
         }
     }
 
-    private fun yieldToRecord(domain: OwnershipDomain) {
-        val mine = domain.ownedToken ?: return
-        val record = domain.record ?: return
-        if (record.owner != self.instance &&
-            record.token > mine
-        ) {
-            lose(domain.name, "record of ${record.owner} with token ${record.token}")
+    private fun yieldToRecords() {
+        val lost = HashMap<OwnershipDomain, String>()
+        for (domain in domains.values) {
+            val mine = domain.ownedToken ?: continue
+            val record = domain.record ?: continue
+            if (record.owner != self.instance && record.token > mine) {
+                lost[domain] = "record of ${record.owner} with token ${record.token}"
+            }
         }
+        lose(lost)
     }
 
     private companion object {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -19,6 +19,9 @@
     private inner class Node(name: String, domain: String, number: Long) : OwnershipListener {
         val member = PeerMember(name, domain, name, 1, number)
         val lost = ArrayList<String>()
+
+        /** What was still owned when each loss was reported. */
+        val ownedAtLoss = ArrayList<Set<String>>()
         val store = object : FleetStore {
             override val isReachable get() = storeIsUp
 
@@ -57,6 +60,7 @@
 
         override fun onLost(failureDomain: String) {
             lost += failureDomain
+            ownedAtLoss += ownership.owned.keys
         }
 
         fun view() =
@@ -151,6 +155,28 @@
         b.ownership.owned["d1"] shouldNotBe null
     }
 
+    /**
+     * Guards against stopping the runs in the domains that are reported first: they continue under the next owner if
+     * this instance keeps no domain, and with it no jobs.
+     */
+    @Test
+    fun `domains that are lost together are reported when none of them is owned any more`() {
+        run(500, sees = ::all)
+        a.ownership.leave()
+        a.lost.toSet() shouldBe setOf("d1", "d2")
+        a.ownedAtLoss.flatten().shouldBeEmpty()
+    }
+
+    /** The same for an instance that hears of another owner's higher tokens, as after a freeze. */
+    @Test
+    fun `domains that another owner has are lost together`() {
+        run(500, sees = ::all)
+        val tokens = a.ownership.owned.mapValues { it.value * 2 }
+        a.ownership.tick(listOf(b.view().copy(owned = tokens), c.view())) { true }
+        a.lost.toSet() shouldBe setOf("d1", "d2")
+        a.ownedAtLoss.flatten().shouldBeEmpty()
+    }
+
     /** Guards against a takeover that waits for the store. With a slow store, no instance claimed for 6.5 s. */
     @Test
     fun `an owner that stops is replaced immediately without the store`() {
