Log which runs a lost backend server had and where tasks start again

The lines unreachable and leases-lapsed carry only a number of tasks, and no line tells a start from a second start. So a log can't lead from a request to the backend servers that it crashed. run-interrupted names each lost run with the cause (REFUSED, SILENT or REPLACED) and the number of runs beside it; run-restarted names each start after the first one. No change of logic.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -13,6 +13,7 @@
     private val actions: DispatchActions,
     private val takeover: TakeoverSystem,
     private val health: BackendHealthSystem,
+    private val log: EventLog,
 ) {
     private val usable = ArrayList<BackendRow>()
     private var blockedDemand: Resources? = null
@@ -133,6 +134,13 @@
         task.donePercent = -1
         task.progressAtMs = nowMs
         job.queuedTasks--
+        if (++task.starts > 1) {
+            log.event(
+                "dispatch", "run-restarted", "job", task.key.job, "task", task.key, "run", task.run,
+                "backend", row.info.id, "incarnation", row.info.incarnation, "starts", task.starts,
+                "beside", row.tasks.size,
+            )
+        }
         row.reserve(task)
         row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs, settings.leaseMs))
         if (!job.everDispatched) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -65,7 +65,7 @@
 
             RejectReason.UNAVAILABLE -> health.recordFailure(row, "unavailable", nowMs)
 
-            RejectReason.REFUSED -> markUnreachable(row, "connection refused", nowMs)
+            RejectReason.REFUSED -> markRefused(row, nowMs)
 
             RejectReason.INVALID -> task.failedOn += row
         }
@@ -89,11 +89,14 @@
             PollResult.Fenced -> actions.onFenced(row.info.failureDomain)
 
             // A partition may also reject connections, so the runs count as active until their lease has expired.
-            PollResult.Refused -> markUnreachable(row, "connection refused", nowMs)
+            PollResult.Refused -> markRefused(row, nowMs)
 
             PollResult.Replaced -> onReplaced(row, "another process has the address", nowMs)
 
-            is PollResult.Failed -> markUnreachable(row, result.reason, nowMs)
+            is PollResult.Failed -> {
+                row.isRefusing = false
+                markUnreachable(row, result.reason, nowMs)
+            }
         }
     }
 
@@ -107,6 +110,7 @@
             log.event("backend", "reached", "backend", row.info.id, "runs", report.running.size)
         }
         row.unreachableSinceMs = NEVER_MS
+        row.isRefusing = false
         row.clockOffsetMs = report.clockMs - nowMs
         row.lastReportAtMs = nowMs
         report.ended.forEach { onRunEnd(row, it, nowMs) }
@@ -266,6 +270,21 @@
         requeue(task)
     }
 
+    private fun markRefused(row: BackendRow, nowMs: Long) {
+        row.isRefusing = true
+        markUnreachable(row, "connection refused", nowMs)
+    }
+
+    private fun logInterrupted(row: BackendRow, cause: String) {
+        for (task in row.tasks.values) {
+            log.event(
+                "dispatch", "run-interrupted", "job", task.key.job, "task", task.key, "run", task.run,
+                "backend", row.info.id, "incarnation", row.info.incarnation, "cause", cause,
+                "beside", row.tasks.size - 1, "state", task.state,
+            )
+        }
+    }
+
     private fun markUnreachable(row: BackendRow, reason: String, nowMs: Long) {
         if (row.isUnreachable) return
         row.unreachableSinceMs = nowMs
@@ -278,6 +297,7 @@
     /** The backend server runs as a new process, which has none of the runs of the previous one. */
     fun onReplaced(row: BackendRow, reason: String, nowMs: Long) {
         log.event("backend", "replaced", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
+        logInterrupted(row, "REPLACED")
         if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
         row.tasks.values.toList().forEach(::requeue)
         row.unknownRuns.clear()
@@ -328,6 +348,7 @@
             val runsEndMs = row.leaseEndMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
             if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > runsEndMs) {
                 log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
+                logInterrupted(row, if (row.isRefusing) "REFUSED" else "SILENT")
                 row.tasks.values.toList().forEach(::requeue)
             }
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -27,6 +27,9 @@
     /** Number of the current or last run; 0 before the first. */
     var run = 0
 
+    /** Number of start commands that this owner has sent for the task. */
+    var starts = 0
+
     /** Earliest start. Until then, an unknown run that a previous owner started may be active. */
     var notBeforeMs = NEVER_MS
 
@@ -157,6 +160,9 @@
     /** Latest end of any lease granted to the backend server, on the dispatcher's clock. */
     var leaseEndMs = NEVER_MS
     var unreachableSinceMs = NEVER_MS
+
+    /** Whether the last poll or start was refused: no process listens at the address, or a partition rejects it. */
+    var isRefusing = false
     var removed = false
 
     /** Estimated speed; run times are inversely proportional to it. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -19,7 +19,7 @@
     private val ends = JobEndSystem(tables, actions, log)
     private val takeover = TakeoverSystem(settings, tables)
     private val health = BackendHealthSystem(settings, tables, log)
-    private val placement = DispatchPlacement(settings, tables, actions, takeover, health)
+    private val placement = DispatchPlacement(settings, tables, actions, takeover, health, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, placement, log)
     private val polls = BackendPollSystem(settings, tables, actions)
