--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -31,6 +31,22 @@
     /** Delay of start commands that get no response and are carried out late; null for normal ones. */
     var lateByMs: (StartCommand) -> Long? = { null }
     var starts = 0
+    val startsByTask = HashMap<TaskKey, Int>()
+
+    /** Tasks that end the process of the backend server that starts them, with the delay after the start. */
+    var crashesAfterMs: (TaskKey) -> Long? = { null }
+
+    /** Whether a restarted backend server is listed under another id. */
+    var restartsUnderNewId = false
+
+    /** Highest demand beyond the capacity that the runs of a backend server have had, in thousandths of a core. */
+    var overloadMillis = 0
+
+    /** Whether backend servers reject starts that exceed their capacity. */
+    var rejectsOverload = true
+
+    /** Whether a poll lists runs that are being stopped. */
+    var listsStoppingRuns = true
 
     private class Event(val atMs: Long, val number: Long, val action: () -> Unit)
 
@@ -39,11 +55,14 @@
     var nowMs = 0L
         private set
 
-    val dispatcher = Dispatcher(settings, clock, this) { part, event, fields ->
-        events += "$part $event ${fields.joinToString(" ")}"
-    }
+    private val log = EventLog { part, event, fields -> events += "$part $event ${fields.joinToString(" ")}" }
+
+    var dispatcher = Dispatcher(settings, clock, this, log)
+        private set
 
-    class Run(val run: Int, val startedAtMs: Long, val workMs: Long, val demand: Resources)
+    class Run(val run: Int, val startedAtMs: Long, val workMs: Long, val demand: Resources) {
+        var isStopping = false
+    }
 
     inner class Backend(val info: BackendInfo, val speed: Double) {
         val running = LinkedHashMap<TaskKey, Run>()
@@ -56,6 +75,12 @@
         var partitioned = false
         var hung = false
         var crashed = false
+
+        /** Its process has ended, and connections are refused. */
+        var isDown = false
+
+        /** A partition between it and the owner resets connections and refuses new ones; its runs continue. */
+        var isRefusing = false
         private var waiting: (() -> Unit)? = null
         private val highestRuns = HashMap<TaskKey, Int>()
 
@@ -69,7 +94,8 @@
                 if (!responded) {
                     responded = true
                     if (crashed) return@answer respond(PollResult.Failed("connection closed"))
-                    respond(PollResult.Report(nowMs, info.incarnation, running.map(::runProgress), ended.toList()))
+                    val listed = running.filter { listsStoppingRuns || !it.value.isStopping }
+                    respond(PollResult.Report(nowMs, info.incarnation, listed.map(::runProgress), ended.toList()))
                 }
             }
             if (ended.isNotEmpty() || request.waitMs == 0L) return answer()
@@ -90,17 +116,22 @@
                 command.token < token -> RejectReason.FENCED
                 command.validUntilMs < nowMs -> RejectReason.EXPIRED
                 command.run <= (highestRuns[command.task] ?: 0) -> RejectReason.OLD_RUN
-                !(used + demand).fitsInto(info.capacity) -> RejectReason.NO_ROOM
+                rejectsOverload && !(used + demand).fitsInto(info.capacity) -> RejectReason.NO_ROOM
                 else -> null
             }
             token = maxOf(token, command.token)
             if (reason != null) return StartResult.Rejected(reason, nowMs)
             if (backends.values.any { command.task in it.running }) concurrentRuns += command.task
             starts++
+            startsByTask.merge(command.task, 1, Int::plus)
+            overloadMillis = maxOf(overloadMillis, (used + demand).cpuMillis - info.capacity.cpuMillis)
             leaseUntilMs = maxOf(leaseUntilMs, command.validUntilMs)
             highestRuns[command.task] = command.run
             val run = Run(command.run, nowMs, workMs(command.task), demand)
             running[command.task] = run
+            crashesAfterMs(command.task)?.let { delayMs ->
+                after(delayMs) { if (running[command.task] === run) stopProcess() }
+            }
             if (!hung) after((run.workMs / speed).toLong()) { end(command.task, run, outcome(command.task, this)) }
             return StartResult.Started(nowMs)
         }
@@ -113,6 +144,22 @@
             waiting = null
         }
 
+        /** Ends the process and all runs. It restarts after [DOWN_MS] as a new process. */
+        fun stopProcess() {
+            if (isDown) return
+            crashed = true
+            isDown = true
+            running.clear()
+            waiting?.invoke()
+            waiting = null
+            after(DOWN_MS) {
+                val id = if (restartsUnderNewId) "${info.id}+" else info.id
+                backends.remove(info.id)
+                backends[id] = Backend(info.copy(id = id, incarnation = info.incarnation + 1), speed)
+                listAll()
+            }
+        }
+
         fun expireLease() {
             if (nowMs <= leaseUntilMs) return
             running.entries.toList().forEach { (task, run) -> end(task, run, RunOutcome.LEASE_EXPIRED) }
@@ -145,6 +192,13 @@
         eventQueue += Event(nowMs + delayMs, nextEventNumber++, action)
     }
 
+    /** Replaces the dispatcher by one on another instance that knows nothing of the jobs. Backend servers run on. */
+    fun replaceOwner(token: Long, settings: DispatchSettings = DispatchSettings()) {
+        dispatcher = Dispatcher(settings, clock, this, log)
+        configure(SimulatedBackends.queue())
+        takeOver(token)
+    }
+
     /** Runs the simulation until [untilMs]. */
     fun run(untilMs: Long) {
         while (nowMs < untilMs) {
@@ -167,35 +221,62 @@
             after(TIMEOUT_MS) { dispatcher.onStartResult(command, StartResult.Unknown("timeout")) }
             return
         }
+        val owner = dispatcher
         after(1) {
             val backend = backends[command.backend.id]
-            if (backend == null || backend.partitioned) {
-                after(TIMEOUT_MS) { dispatcher.onStartResult(command, StartResult.Unknown("timeout")) }
-            } else {
-                val result = backend.start(command, demand)
-                after(1) { dispatcher.onStartResult(command, result) }
+            when {
+                backend == null || backend.partitioned ->
+                    after(TIMEOUT_MS) { owner.onStartResult(command, StartResult.Unknown("timeout")) }
+
+                backend.isDown || backend.isRefusing ->
+                    after(1) { owner.onStartResult(command, StartResult.Rejected(RejectReason.REFUSED, null)) }
+
+                else -> {
+                    val result = backend.start(command, demand)
+                    after(1) {
+                        val isLost = backend.isDown && result is StartResult.Started
+                        owner.onStartResult(command, if (isLost) StartResult.Unknown("connection closed") else result)
+                    }
+                }
             }
         }
     }
 
-    override fun stop(command: StopCommand) = after(1) {
-        val backend = backends[command.backend.id]
-        val run = backend?.running?.get(command.task)
-        if (backend == null || backend.partitioned || command.token < backend.token) {
-            dispatcher.onStopResult(command, isAcknowledged = false)
-        } else {
-            if (run?.run == command.run) after(20) { backend.end(command.task, run, RunOutcome.STOPPED) }
-            after(1) { dispatcher.onStopResult(command, isAcknowledged = true) }
+    override fun stop(command: StopCommand) {
+        val owner = dispatcher
+        after(1) {
+            val backend = backends[command.backend.id]
+            val run = backend?.running?.get(command.task)
+            val isUnreachable = backend == null || backend.partitioned || backend.isDown || backend.isRefusing
+            if (backend == null || isUnreachable || command.token < backend.token) {
+                owner.onStopResult(command, isAcknowledged = false)
+            } else {
+                if (run?.run == command.run) {
+                    run.isStopping = true
+                    after(STOP_MS) { backend.end(command.task, run, RunOutcome.STOPPED) }
+                }
+                after(1) { owner.onStopResult(command, isAcknowledged = true) }
+            }
         }
     }
 
-    override fun poll(request: PollRequest, number: Long) = after(1) {
-        val backend = backends[request.backend.id]
-        if (backend == null || backend.partitioned) {
-            after(TIMEOUT_MS) { dispatcher.onPollResult(request, number, PollResult.Failed("timeout")) }
-        } else {
-            backend.poll(request) { result ->
-                if (!backend.partitioned) after(1) { dispatcher.onPollResult(request, number, result) }
+    override fun poll(request: PollRequest, number: Long) {
+        val owner = dispatcher
+        after(1) {
+            val backend = backends[request.backend.id]
+            when {
+                backend == null && "${request.backend.id}+" in backends ->
+                    after(1) { owner.onPollResult(request, number, PollResult.Replaced) }
+
+                backend == null || backend.partitioned ->
+                    after(TIMEOUT_MS) { owner.onPollResult(request, number, PollResult.Failed("timeout")) }
+
+                backend.isDown || backend.isRefusing ->
+                    after(1) { owner.onPollResult(request, number, PollResult.Refused) }
+
+                else -> backend.poll(request) { result ->
+                    if (!backend.partitioned) after(1) { owner.onPollResult(request, number, result) }
+                }
             }
         }
     }
@@ -224,7 +305,7 @@
 
     fun configure(vararg queues: QueueSettings) {
         val limits = RequestLimits(16_384, 262_144, 15_000)
-        val service = ServiceSettings(ServiceId("s"), rejectsOverload = true)
+        val service = ServiceSettings(ServiceId("s"), rejectsOverload)
         dispatcher.configure(DispatchConfiguration(1, queues.toList(), listOf(service), limits))
     }
 
@@ -234,6 +315,10 @@
         const val TICK_MS = 20L
         const val TIMEOUT_MS = 120L
         const val MAX_LEASE_MS = 1_000L
+        const val STOP_MS = 20L
+
+        /** How long a crashed backend server is away. */
+        const val DOWN_MS = 3_000L
 
         fun queue(id: String = "q", priority: Int = 0, objectiveMs: Long = 60, maxAttempts: Int = 3) =
             QueueSettings(QueueId(id), "h", "/$id/", ServiceId("s"), priority, maxAttempts, 1.6, objectiveMs)
