Give up tasks that crash the backend servers that start them

Cause: a run that is lost with its backend server was queued again without a count, beside other tasks, by each owner and for each repeat anew. Only ends that were reported as failed counted. Ruled out: partitions (every former process was replaced) and lost leases (no run ended as expired).

A crash now counts for each task whose run may have been active. Evidence is a refused connection or another process in its place, not silence; a backend server that drains does not count, and the crash is refuted when the process answers again. A task with a crash runs alone, on a reserved backend server if none is idle, so the second crash tells the cause from its neighbours. After two crashes, one of them alone, or three in any case, its job fails at once. The counts go to the other instances when they change, to the next owner with the progress of a job, and outlive the job for repeats.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -30,8 +30,11 @@
         )
     }
 
-    /** Whether new tasks may be started on the backend server. */
-    fun isUsable(row: BackendRow, nowMs: Long): Boolean =
+    /** Whether new tasks may be started on the backend server, which is not reserved for a single one. */
+    fun isUsable(row: BackendRow, nowMs: Long): Boolean = row.reservedFor == null && canStart(row, nowMs)
+
+    /** Whether the backend server can start tasks now. */
+    fun canStart(row: BackendRow, nowMs: Long): Boolean =
         row.isServing(nowMs) && row.lastReportAtMs != NEVER_MS && row.clockOffsetMs != null &&
             row.pausedUntilMs <= nowMs && row.unknownRuns.isEmpty() && !row.isBeingProbed
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendInfo.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendInfo.kt
@@ -7,6 +7,8 @@
  *
  * @property incarnation identifies the process by its start time; 0 if unknown. A new process has none of the state of
  *   the previous one.
+ * @property rack the rack that the backend server is in, one of the [labels]; null if unknown. A rack may lose power
+ *   as a whole.
  * @property draining whether it is shutting down and accepts no new tasks.
  */
 @Serializable
@@ -20,6 +22,7 @@
     public val labels: List<String>,
     public val incarnation: Long,
     public val draining: Boolean,
+    public val rack: String? = null,
 ) {
     /** Whether [other] describes the same process; an unknown incarnation of [other] matches any. */
     public fun isSameProcess(other: BackendInfo): Boolean =
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
@@ -12,6 +12,9 @@
     /** Delivers the result of a job. Called once for each instance that waits for it. */
     public fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult)
 
+    /** This instance has learned more about tasks, which the next owner of their jobs has to know. */
+    public fun historiesChanged(histories: List<TaskHistory>)
+
     /** A backend server has rejected a command or a poll since it has received a higher token of another owner. */
     public fun onFenced(failureDomain: String)
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -13,6 +13,7 @@
     private val actions: DispatchActions,
     private val takeover: TakeoverSystem,
     private val health: BackendHealthSystem,
+    private val isolation: IsolationSystem,
     private val log: EventLog,
 ) {
     private val usable = ArrayList<BackendRow>()
@@ -39,7 +40,7 @@
     fun run(nowMs: Long) {
         if (tables.waiting.isEmpty()) return
         tables.backends.values.filterTo(usable) { health.isUsable(it, nowMs) }
-        if (usable.isNotEmpty()) {
+        if (usable.isNotEmpty() || tables.backends.values.any { it.reservedFor != null }) {
             if (tables.waitingIsDirty) {
                 tables.waiting.sortWith(SERVING_ORDER)
                 tables.waitingIsDirty = false
@@ -64,16 +65,18 @@
     private fun placeTasks(job: JobRow, nowMs: Long) {
         for (task in job.allTasks()) {
             if (task.state != TaskState.QUEUED || nowMs < task.notBeforeMs) continue
-            if (blockedDemand?.fitsInto(task.step.demand) == true) continue
-            val row = chooseBackend(task, nowMs)
-            if (row != null) {
-                start(task, row, nowMs)
-            } else if (isUnconstrained(task)) {
-                blockedDemand = task.step.demand
-            }
+            val row = if (task.isSuspect) isolation.chooseBackend(task, nowMs) else chooseUnlessBlocked(task, nowMs)
+            row?.let { start(task, it, nowMs) }
         }
     }
 
+    private fun chooseUnlessBlocked(task: TaskRow, nowMs: Long): BackendRow? {
+        if (blockedDemand?.fitsInto(task.step.demand) == true) return null
+        val row = chooseBackend(task, nowMs)
+        if (row == null && isUnconstrained(task)) blockedDemand = task.step.demand
+        return row
+    }
+
     private fun isUnconstrained(task: TaskRow): Boolean =
         task.failedOn.isEmpty() && task.step.requiredLabel == null && task.step.maxPerBackend == null
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -7,6 +7,7 @@
     private val actions: DispatchActions,
     private val ends: JobEndSystem,
     private val health: BackendHealthSystem,
+    private val crashes: CrashSystem,
     private val placement: DispatchPlacement,
     private val log: EventLog,
 ) {
@@ -52,7 +53,7 @@
         when (reason) {
             RejectReason.FENCED -> {
                 // The new owner is responsible for the runs there.
-                requeue(task)
+                requeue(task, nowMs)
                 actions.onFenced(row.info.failureDomain)
                 return
             }
@@ -65,18 +66,24 @@
 
             RejectReason.UNAVAILABLE -> health.recordFailure(row, "unavailable", nowMs)
 
-            RejectReason.REFUSED -> markRefused(row, nowMs)
+            RejectReason.REFUSED -> {
+                // The task did not start there, so it is not among those that may have crashed the backend server.
+                requeue(task, nowMs)
+                markRefused(row, nowMs)
+                return
+            }
 
             RejectReason.INVALID -> task.failedOn += row
         }
-        requeue(task)
+        requeue(task, nowMs)
     }
 
-    private fun requeue(task: TaskRow) {
+    private fun requeue(task: TaskRow, nowMs: Long) {
         task.backend?.release(task)
         val job = task.job
         if (job.ended || task.state == TaskState.DONE) return
         placement.enqueue(task)
+        crashes.resultOrNull(task)?.let { ends.end(job, it, nowMs) }
     }
 
     fun onPollResult(request: PollRequest, number: Long, result: PollResult, nowMs: Long) {
@@ -108,6 +115,8 @@
         row.info = row.info.copy(incarnation = report.incarnation)
         if (row.lastReportAtMs == NEVER_MS || row.isUnreachable) {
             log.event("backend", "reached", "backend", row.info.id, "runs", report.running.size)
+            crashes.refuteCrashes(row, nowMs)
+            row.lapsedTasks = emptyList()
         }
         row.unreachableSinceMs = NEVER_MS
         row.isRefusing = false
@@ -138,7 +147,7 @@
                     "dispatch", "run-lost", "job", task.key.job, "task", task.key, "run", task.run,
                     "backend", row.info.id, "outcome", end.outcome,
                 )
-                requeue(task)
+                requeue(task, nowMs)
             }
         }
     }
@@ -171,7 +180,7 @@
     }
 
     private fun onRunFailed(row: BackendRow, task: TaskRow, nowMs: Long) {
-        task.failures++
+        crashes.recordFailure(task, nowMs)
         task.failedOn += row
         log.event(
             "dispatch", "run-failed", "job", task.key.job, "task", task.key, "run", task.run,
@@ -179,11 +188,8 @@
         )
         // If the task has failed on another backend server before, the task is the more likely cause.
         if (task.failures == 1) health.recordFailure(row, "failed runs", nowMs)
-        if (task.failures >= task.job.queue.maxAttempts) {
-            return ends.end(task.job, JobResult.Failed("a task has failed ${task.failures} times"), nowMs)
-        }
         if (task.failedOn.size >= tables.backends.size) task.failedOn.clear()
-        requeue(task)
+        requeue(task, nowMs)
     }
 
     private fun reconcileRuns(row: BackendRow, report: PollResult.Report, nowMs: Long) {
@@ -191,7 +197,7 @@
         row.unknownRuns.keys.retainAll(running.keys)
         for (run in report.running) reconcileRun(row, run, nowMs)
         val missing = row.tasks.values.filter { it.run != running[it.key]?.run }
-        missing.forEach { onRunMissing(row, it, report.clockMs) }
+        missing.forEach { onRunMissing(row, it, report.clockMs, nowMs) }
     }
 
     private fun reconcileRun(row: BackendRow, run: RunProgress, nowMs: Long) {
@@ -239,6 +245,7 @@
         row.unknownRuns.remove(task.key)
         if (task.state == TaskState.QUEUED) task.job.queuedTasks--
         row.reserve(task)
+        if (task.isSuspect) row.reservedFor = task
         task.state = TaskState.RUNNING
         task.isAdopted = true
         task.run = found.run
@@ -253,7 +260,7 @@
     }
 
     /** The backend server reports neither an active run of [task] nor its end. */
-    private fun onRunMissing(row: BackendRow, task: TaskRow, clockMs: Long) {
+    private fun onRunMissing(row: BackendRow, task: TaskRow, clockMs: Long, nowMs: Long) {
         val isLost = when (task.state) {
             TaskState.RUNNING -> clockMs > task.confirmedAtMs
 
@@ -267,12 +274,13 @@
             "dispatch", "run-missing", "job", task.key.job, "task", task.key, "run", task.run,
             "backend", row.info.id, "state", task.state,
         )
-        requeue(task)
+        requeue(task, nowMs)
     }
 
     private fun markRefused(row: BackendRow, nowMs: Long) {
         row.isRefusing = true
         markUnreachable(row, "connection refused", nowMs)
+        crashes.recordCrash(row, CrashEvidence.REFUSED, nowMs)
     }
 
     private fun logInterrupted(row: BackendRow, cause: String) {
@@ -299,7 +307,9 @@
         log.event("backend", "replaced", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
         logInterrupted(row, "REPLACED")
         if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
-        row.tasks.values.toList().forEach(::requeue)
+        crashes.recordCrash(row, CrashEvidence.REPLACED, nowMs)
+        row.lapsedTasks = emptyList()
+        row.tasks.values.toList().forEach { requeue(it, nowMs) }
         row.unknownRuns.clear()
         row.unclaimedCompletions.clear()
         row.acknowledgedEnd = 0
@@ -349,14 +359,16 @@
             if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > runsEndMs) {
                 log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
                 logInterrupted(row, if (row.isRefusing) "REFUSED" else "SILENT")
-                row.tasks.values.toList().forEach(::requeue)
+                crashes.reviewLoss(row, nowMs)
+                if (!row.isRefusing) row.lapsedTasks += row.tasks.values
+                row.tasks.values.toList().forEach { requeue(it, nowMs) }
             }
         }
         val due = orphans.filter { it.leaseEndMs <= nowMs }
         orphans.removeAll(due)
         for (orphan in due) {
             orphan.task.isOrphan = false
-            if (orphan.task.run == orphan.run && orphan.task.state == TaskState.UNCERTAIN) requeue(orphan.task)
+            if (orphan.task.run == orphan.run && orphan.task.state == TaskState.UNCERTAIN) requeue(orphan.task, nowMs)
         }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -20,6 +20,12 @@
  * @property overheadMs time from the first byte of a request to the start of a task, plus the time from the end of the
  *   last task to the last byte of the response.
  * @property clockDrift maximum fraction by which a backend server's clock may run slow.
+ * @property crashesOfCause number of backend servers that must have crashed under a task before it is given up, if it
+ *   ran alone on at least one of them.
+ * @property maxCrashes number of backend servers after whose crash a task is given up in any case.
+ * @property isolationShare maximum fraction of the backend servers that may be reserved for tasks with a crash.
+ * @property historyRetentionMs how long the history of a task is kept after its last change and the end of its job;
+ *   longer than a caller repeats a job.
  * @property maxOpenJobs maximum number of open jobs; bounds memory.
  */
 public data class DispatchSettings(
@@ -36,4 +42,8 @@
     val overheadMs: Long = 12,
     val clockDrift: Double = 0.02,
     val maxOpenJobs: Int = 5_000,
+    val crashesOfCause: Int = 2,
+    val maxCrashes: Int = 3,
+    val isolationShare: Double = 0.25,
+    val historyRetentionMs: Long = 60_000,
 )
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -35,7 +35,9 @@
 
     /** The run was started by a previous owner. */
     var isAdopted = false
-    var failures = 0
+
+    /** What is known of earlier runs, also under previous owners; null if nothing is. */
+    var history: TaskHistory? = null
     var dispatchedAtMs = 0L
 
     /** Time on the backend server's clock after which the start command is rejected. */
@@ -53,6 +55,11 @@
     /** Its backend server is no longer controlled by this instance, and its run may still be active. */
     var isOrphan = false
 
+    val failures: Int get() = history?.failures ?: 0
+
+    /** Whether the task may crash the backend server that starts it. */
+    val isSuspect: Boolean get() = history?.crashes?.any { !it.isRefuted } == true
+
     val isStopRequested: Boolean get() = stopRequestedAtMs != NEVER_MS
 
     val isDispatched: Boolean
@@ -165,6 +172,12 @@
     var isRefusing = false
     var removed = false
 
+    /** Task that runs, or will run, without others on the backend server. */
+    var reservedFor: TaskRow? = null
+
+    /** Tasks whose leases have expired while the backend server was silent. It may turn out to have crashed. */
+    var lapsedTasks: List<TaskRow> = emptyList()
+
     /** Estimated speed; run times are inversely proportional to it. */
     var speed = 1.0
     var failuresInRow = 0
@@ -175,6 +188,7 @@
     var pausedUntilMs = NEVER_MS
 
     val isUnreachable: Boolean get() = unreachableSinceMs != NEVER_MS
+    val isIdle: Boolean get() = tasks.isEmpty() && unknownRuns.isEmpty()
     val isOnProbation: Boolean get() = ejections > 0
 
     /** After an ejection, one task at a time tests whether the backend server has recovered. */
@@ -191,6 +205,7 @@
 
     fun release(task: TaskRow) {
         if (tasks.remove(task.key) != null) free += task.step.demand
+        if (reservedFor === task) reservedFor = null
         task.backend = null
     }
 
@@ -201,7 +216,8 @@
 internal class UnknownRun(val run: Int, val firstReportedMs: Long, var stopSentAtMs: Long = NEVER_MS)
 
 /** All state of the dispatcher. Confined to one thread. */
-internal class DispatchTables {
+internal class DispatchTables(historyRetentionMs: Long) {
+    val histories = TaskHistoryTable(historyRetentionMs)
     val jobs = LinkedHashMap<JobId, JobRow>()
 
     /** Jobs with queued tasks, in serving order unless [waitingIsDirty]. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -15,13 +15,15 @@
     private val log: EventLog,
 ) {
     private val elapsed = ElapsedClock(clock)
-    private val tables = DispatchTables()
+    private val tables = DispatchTables(settings.historyRetentionMs)
     private val ends = JobEndSystem(tables, actions, log)
     private val takeover = TakeoverSystem(settings, tables)
     private val health = BackendHealthSystem(settings, tables, log)
-    private val placement = DispatchPlacement(settings, tables, actions, takeover, health, log)
+    private val isolation = IsolationSystem(settings, tables, health, log)
+    private val crashes = CrashSystem(settings, tables, actions, log)
+    private val placement = DispatchPlacement(settings, tables, actions, takeover, health, isolation, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
-    private val replies = DispatchReplies(settings, tables, actions, ends, health, placement, log)
+    private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, placement, log)
     private val polls = BackendPollSystem(settings, tables, actions)
 
     /** Milliseconds since the dispatcher was created. */
@@ -40,6 +42,14 @@
         return ((runningMillis + waitingMillis) * FULL_PERCENT / capacityMillis).toInt()
     }
 
+    /** What is known of tasks that may crash backend servers or have failed. */
+    public val histories: List<TaskHistory> get() = tables.histories.all
+
+    /** Adds what another instance knows of tasks. */
+    public fun learn(histories: List<TaskHistory>) {
+        crashes.mergeAll(histories, nowMs())
+    }
+
     /** Number of admitted jobs of [queue] of which no task was started yet. */
     public fun waitingJobs(queue: QueueId): Int =
         tables.jobs.values.count { it.queue.id == queue && !it.everDispatched }
@@ -126,12 +136,14 @@
     ) {
         val nowMs = nowMs()
         tables.jobs[request.id]?.let { return it.join(origin) }
+        progress?.let { crashes.mergeAll(it.histories, nowMs) }
         val decision = admission.decide(request, nowMs - waitedMs, nowMs + timeoutMs, progress, nowMs)
         val job = when (decision) {
             is AdmissionDecision.Refused -> return actions.jobEnded(origin, request.id, decision.result)
             is AdmissionDecision.Admitted -> decision.job
         }
         job.origins += origin
+        crashes.assignHistories(job)
         tables.jobs[request.id] = job
         job.predecessor = tables.endingJobs[request.id]?.also {
             job.highestPriorRun = maxOf(it.highestPriorRun, it.highestStartedRun)
@@ -139,6 +151,8 @@
         progress?.let { resume(job, it, nowMs) }
         replies.adoptUnknownRuns(job, nowMs)
         placement.unblock(job)
+        val failure = job.allTasks().filter { it.state != TaskState.DONE }.firstNotNullOfOrNull(crashes::resultOrNull)
+        if (failure != null) ends.end(job, failure, nowMs)
         if (job.openTasks == 0) ends.end(job, JobResult.Complete, nowMs)
         placement.run(nowMs)
     }
@@ -225,6 +239,7 @@
         val nowMs = nowMs()
         replies.runTimers(nowMs)
         ends.runDeadlines(nowMs)
+        tables.histories.prune(nowMs) { it in tables.jobs }
         polls.run(nowMs)
         placement.run(nowMs)
     }
@@ -250,6 +265,7 @@
             done = job.allTasks().filter { it.state == TaskState.DONE }.map { it.key }.toList(),
             ordered = job.allTasks().filter { it.isDispatched || it.notBeforeMs > nowMs }.map { it.key }.toList(),
             highestRun = maxOf(job.highestPriorRun, job.highestStartedRun),
+            histories = job.allTasks().mapNotNull { it.history }.toList(),
         )
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -268,6 +268,9 @@
             network.send(origin.instance, PeerMessage.Ended(origin.request, job, result))
         }
 
+        override fun historiesChanged(histories: List<TaskHistory>) =
+            network.broadcast(PeerMessage.Histories(histories))
+
         override fun onFenced(failureDomain: String) = ownership.onFenced(failureDomain)
     }
 
@@ -357,6 +360,8 @@
 
                 is PeerMessage.Backends -> onPeerBackends(message.backends)
 
+                is PeerMessage.Histories -> dispatcher.learn(message.histories)
+
                 is PeerMessage.Members ->
                     message.members.filter { it.instance != self.instance }.forEach(network::addMember)
             }
@@ -384,6 +389,8 @@
         override fun onConnected(peer: PeerMember) {
             withoutStore -= peer.instance
             if (dispatcher.ownedDomains.isNotEmpty()) network.send(peer.instance, PeerMessage.Backends(backends))
+            val suspects = dispatcher.histories.filter { it.crashes.isNotEmpty() }
+            if (suspects.isNotEmpty()) network.send(peer.instance, PeerMessage.Histories(suspects))
             network.send(peer.instance, PeerMessage.OpenRequests(entry.openRequestsAt(peer.instance)))
             entry.onReconnected(peer.instance)
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
@@ -14,6 +14,8 @@
         for (task in job.allTasks()) {
             if (task.isDispatched) stop(task, nowMs)
         }
+        tables.backends.values.filter { it.reservedFor?.job === job && it.reservedFor?.backend == null }
+            .forEach { it.reservedFor = null }
         if (job.hasRuns) tables.endingJobs[job.request.id] = job
         val startedAtMs = if (job.everDispatched) job.firstDispatchedAtMs else nowMs
         log.event(
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
@@ -35,10 +35,12 @@
  * @property done tasks that have completed.
  * @property ordered tasks that may be running; null if the previous owner reported none, so that any task may be.
  * @property highestRun highest run number that was used for any task.
+ * @property histories what is known of tasks that have failed or may have crashed backend servers.
  */
 @Serializable
 public data class JobProgress(
     public val done: List<TaskKey> = emptyList(),
     public val ordered: List<TaskKey>? = null,
     public val highestRun: Int = 0,
+    public val histories: List<TaskHistory> = emptyList(),
 )
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -93,6 +93,11 @@
     @SerialName("backends")
     public data class Backends(val backends: List<BackendInfo>) : PeerMessage
 
+    /** What the sender knows of tasks that may have crashed backend servers. */
+    @Serializable
+    @SerialName("histories")
+    public data class Histories(val histories: List<TaskHistory>) : PeerMessage
+
     /** All instances that the sender knows. */
     @Serializable
     @SerialName("members")
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -67,4 +67,131 @@
         sim.startsByTask[guilty] shouldBe 2
         sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
     }
+
+    /** Guards against a count that begins anew with each owner: the second owner never saw the first crash. */
+    @Test
+    fun `the next owner counts the crashes that earlier owners have seen`() {
+        val sim = simulation()
+        val request = sim.job("guilty", tasks = 1)
+        sim.submit(request, timeoutMs = 60_000)
+        sim.run(untilMs = 500)
+        sim.startsByTask[guilty] shouldBe 1
+        sim.replaceOwner(token = 2)
+        sim.dispatcher.learn(sim.published.values.toList())
+        sim.submit(request, timeoutMs = 60_000, progress = JobProgress())
+        sim.run(untilMs = 20_000)
+        sim.startsByTask[guilty] shouldBe 2
+        sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
+    }
+
+    /** Guards against a planned handover that drops the crashes, where the next owner heard nothing before. */
+    @Test
+    fun `the progress of a job that is handed over has the crashes of its tasks`() {
+        val sim = simulation()
+        val request = sim.job("guilty", tasks = 1)
+        sim.submit(request, timeoutMs = 60_000)
+        sim.run(untilMs = 2_000)
+        val progress = sim.dispatcher.handOver().single().third
+        sim.replaceOwner(token = 2)
+        sim.submit(request, timeoutMs = 60_000, progress = progress)
+        sim.run(untilMs = 20_000)
+        sim.startsByTask[guilty] shouldBe 2
+        sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
+    }
+
+    /**
+     * Guards against starts without end when owners die together with the backend servers: a crash that the dead owner
+     * did not see is not counted.
+     */
+    @Test
+    fun `a task is started at most five times although an owner is lost with each of two crashes`() {
+        val sim = simulation(backends = 12)
+        val request = sim.job("guilty", tasks = 1)
+        sim.submit(request, timeoutMs = 60_000)
+        repeat(2) { loss ->
+            sim.run(sim.nowMs + 7)
+            sim.startsByTask[guilty] shouldBe loss + 1
+            sim.replaceOwner(token = 2L + loss)
+            sim.dispatcher.learn(sim.published.values.toList())
+            sim.submit(request, timeoutMs = 60_000, progress = JobProgress())
+            while ((sim.startsByTask[guilty] ?: 0) == loss + 1 && sim.nowMs < 10_000) sim.run(sim.nowMs + 1)
+        }
+        sim.run(untilMs = 30_000)
+        sim.startsByTask.getValue(guilty) shouldBeLessThan 6
+        sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
+    }
+
+    /** Guards against taking a partition that resets and refuses connections for a crash. */
+    @Test
+    fun `a task on backend servers that were only cut off is not given up`() {
+        val sim = simulation(backends = 3)
+        sim.workMs = { 2_000 }
+        val innocent = TaskKey(JobId("innocent"), 0, 0)
+        sim.submit(sim.job("innocent", tasks = 1, estimateMs = 2_000), timeoutMs = 60_000)
+        repeat(4) {
+            sim.run(sim.nowMs + 300)
+            val cut = sim.backends.values.firstOrNull { innocent in it.running } ?: return@repeat
+            cut.isRefusing = true
+            sim.run(sim.nowMs + 1_300)
+            cut.isRefusing = false
+            sim.run(sim.nowMs + 400)
+        }
+        sim.run(sim.nowMs + 10_000)
+        sim.results[JobId("innocent")] shouldBe JobResult.Complete
+        sim.concurrentRuns.size shouldBe 0
+    }
+
+    /** Guards against blaming a task that ran alone on a backend server when its whole rack loses power, twice. */
+    @Test
+    fun `a task that ran alone in a rack that was lost is not given up`() {
+        val sim = SimulatedBackends().apply {
+            configure(SimulatedBackends.queue())
+            repeat(9) { number -> add("b$number", rack = "r${number / 3}") }
+            takeOver()
+            workMs = { 2_000 }
+            run(untilMs = 100)
+        }
+        val innocent = TaskKey(JobId("innocent"), 0, 0)
+        sim.submit(sim.job("innocent", tasks = 1, estimateMs = 2_000), timeoutMs = 60_000)
+        repeat(2) {
+            sim.run(sim.nowMs + 300)
+            val rack = sim.backends.values.first { innocent in it.running }.info.rack
+            sim.backends.values.filter { it.info.rack == rack }.forEach { it.stopProcess() }
+            sim.run(sim.nowMs + 1_500)
+        }
+        sim.run(sim.nowMs + 10_000)
+        sim.results[JobId("innocent")] shouldBe JobResult.Complete
+    }
+
+    /** Guards against waiting for an idle backend server for ever when all have work all the time. */
+    @Test
+    fun `a suspect gets a backend server of its own although all are busy`() {
+        val sim = simulation(backends = 4)
+        sim.workMs = { 200 }
+        sim.submit(sim.job("guilty", tasks = 1, estimateMs = 200), timeoutMs = 60_000)
+        var number = 0
+        fun keepBusy() {
+            repeat(4) { sim.submit(sim.job("load${number++}", tasks = 2, estimateMs = 200), timeoutMs = 3_000) }
+            if (sim.nowMs < 6_000) sim.after(200) { keepBusy() }
+        }
+        sim.after(10) { keepBusy() }
+        sim.run(untilMs = 8_000)
+        sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
+        sim.startsByTask[guilty] shouldBe 2
+    }
+
+    /** Guards against a backend server that stays reserved after the job of its suspect has ended. */
+    @Test
+    fun `a reservation ends with the job`() {
+        val sim = simulation(backends = 2)
+        sim.workMs = { 400 }
+        sim.submit(sim.job("guilty", tasks = 1, estimateMs = 400), timeoutMs = 60_000)
+        repeat(3) { sim.submit(sim.job("other$it", tasks = 1, estimateMs = 400), timeoutMs = 60_000) }
+        sim.run(untilMs = 1_500)
+        sim.dispatcher.cancelForAll(JobId("guilty"))
+        sim.run(untilMs = 6_000)
+        sim.submit(sim.job("wide", tasks = 4, estimateMs = 400), timeoutMs = 60_000)
+        sim.run(untilMs = 6_700)
+        sim.results[JobId("wide")] shouldBe JobResult.Complete
+    }
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -166,9 +166,15 @@
         }
     }
 
-    fun add(id: String, speed: Double = 1.0, domain: String = "d1", cores: Int = 16): Backend {
+    fun add(
+        id: String,
+        speed: Double = 1.0,
+        domain: String = "d1",
+        cores: Int = 16,
+        rack: String? = null,
+    ): Backend {
         val capacity = Resources(cores * MILLIS, 64_000, 0)
-        val info = BackendInfo(id, id, 1, domain, ServiceId("s"), capacity, emptyList(), 1, draining = false)
+        val info = BackendInfo(id, id, 1, domain, ServiceId("s"), capacity, emptyList(), 1, draining = false, rack)
         return Backend(info, speed).also { backends[id] = it }
     }
 
@@ -286,6 +292,13 @@
         resultAtMs[job] = nowMs
     }
 
+    /** What the dispatchers have published, as the other instances know it. */
+    val published = HashMap<TaskKey, TaskHistory>()
+
+    override fun historiesChanged(histories: List<TaskHistory>) {
+        histories.forEach { published[it.task] = published[it.task]?.merge(it) ?: it }
+    }
+
     override fun onFenced(failureDomain: String) {
         fenced += failureDomain
     }
