Refuse jobs that exceed a shrunk capacity with a retry time

What callers saw: while the capacity of the backend servers has shrunk, a job that fits only their full capacity is refused as one that can never run, with no time after which to come back. The refusal is not true, since the capacity may grow again. The largest capacity that was listed now decides what can never run; what exceeds only the present one is refused at once as overload, with a retry time. A change of capacity is logged as `backend resized`.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -28,7 +28,10 @@
         val job = JobRow(request, queue, arrivedAtMs, deadlineMs)
         estimate(job)
         if (progress != null) return AdmissionDecision.Admitted(job)
-        infeasibleReasonOrNull(job)?.let { return refused(request, NotRunCode.CAN_NEVER_RUN, it, null) }
+        infeasibleReasonOrNull(job) { it.largestCapacity }
+            ?.let { return refused(request, NotRunCode.CAN_NEVER_RUN, it, null) }
+        infeasibleReasonOrNull(job) { it.info.capacity }
+            ?.let { return refused(request, NotRunCode.OVERLOAD, "$it at its present capacity", SHORT_RETRY_MS) }
         if (tables.jobs.size >= settings.maxOpenJobs) {
             return refused(request, NotRunCode.OVERLOAD, "${settings.maxOpenJobs} jobs are open", SHORT_RETRY_MS)
         }
@@ -51,12 +54,12 @@
         job.lastUsefulStartMs = maxOf(job.latestStartMs, job.arrivedAtMs + (usefulMs - reservedMs).toLong())
     }
 
-    private fun infeasibleReasonOrNull(job: JobRow): String? {
+    private fun infeasibleReasonOrNull(job: JobRow, capacity: (BackendRow) -> Resources): String? {
         val backends = tables.backends.values.filter { it.info.service == job.queue.service }
         if (backends.isEmpty()) return null
         for ((number, step) in job.request.steps.withIndex()) {
             val fits = backends.any {
-                step.demand.fitsInto(it.info.capacity) &&
+                step.demand.fitsInto(capacity(it)) &&
                     (step.requiredLabel == null || step.requiredLabel in it.info.labels)
             }
             if (!fits) return "no backend server can hold a task of step $number"
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchConfiguration.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchConfiguration.kt
@@ -42,12 +42,15 @@
     public val limits: RequestLimits,
 ) {
     private val queuesById by lazy { queues.associateBy { it.id } }
+    private val servicesById by lazy { services.associateBy { it.id } }
     private val queuesByHost by lazy {
         queues.groupBy { it.host }.mapValues { (_, queues) -> queues.sortedByDescending { it.pathPrefix.length } }
     }
 
     public fun queueOrNull(id: QueueId): QueueSettings? = queuesById[id]
 
+    public fun serviceOrNull(id: ServiceId): ServiceSettings? = servicesById[id]
+
     /** The queue of [host] whose path prefix is the longest that matches [path]. */
     public fun queueOrNull(host: String, path: String): QueueSettings? =
         queuesByHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -49,6 +49,9 @@
     var progressAtMs = 0L
     var stopRequestedAtMs = NEVER_MS
 
+    /** Time of the first report that lists neither the run nor its end. */
+    var missingSinceMs = NEVER_MS
+
     /** Backend servers where the task has failed. */
     val failedOn = ArrayList<BackendRow>(0)
 
@@ -146,6 +149,16 @@
     val unclaimedCompletions = LinkedHashMap<TaskKey, Long>()
     var free = info.capacity
 
+    /** Largest capacity that was listed. */
+    var largestCapacity = info.capacity
+        private set
+
+    /** Whether the listed capacity and labels are those of the present process. */
+    var isDescribed = true
+
+    /** Time of the first report after the backend server was unknown or unreachable. */
+    var reachedAtMs = NEVER_MS
+
     /** Highest [RunEnd.number] that was processed. */
     var acknowledgedEnd = 0L
 
@@ -197,6 +210,14 @@
     /** Whether it contributes to the capacity: neither draining, unreachable nor ejected. */
     fun isServing(nowMs: Long): Boolean = !info.draining && !isUnreachable && ejectedUntilMs <= nowMs
 
+    fun hasLabel(required: String?): Boolean = required == null || (isDescribed && required in info.labels)
+
+    fun resize(capacity: Resources) {
+        free += capacity - info.capacity
+        info = info.copy(capacity = capacity)
+        largestCapacity = largestCapacity.coerceAtLeast(capacity)
+    }
+
     fun reserve(task: TaskRow) {
         tasks[task.key] = task
         task.backend = this
@@ -213,7 +234,10 @@
 }
 
 /** A run reported by a backend server that belongs to no job here. */
-internal class UnknownRun(val run: Int, val firstReportedMs: Long, var stopSentAtMs: Long = NEVER_MS)
+internal class UnknownRun(val run: Int, val firstReportedMs: Long, var stopSentAtMs: Long = NEVER_MS) {
+    /** Time of the first report that lists neither the run nor its end. */
+    var missingSinceMs = NEVER_MS
+}
 
 /** All state of the dispatcher. Confined to one thread. */
 internal class DispatchTables(historyRetentionMs: Long) {
@@ -238,6 +262,9 @@
     fun backendsIn(failureDomain: String): List<BackendRow> =
         backends.values.filter { it.info.failureDomain == failureDomain }
 
+    /** Whether the backend servers of [service] reject what exceeds their capacity; false if unknown. */
+    fun isGuarded(service: ServiceId): Boolean = configuration?.serviceOrNull(service)?.rejectsOverload == true
+
     fun token(backend: BackendRow): Long? = tokens[backend.info.failureDomain]
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -109,9 +109,15 @@
         if (info.draining != row.info.draining) {
             log.event("backend", "draining", "backend", info.id, "draining", info.draining)
         }
-        val capacityChange = info.capacity - row.info.capacity
-        row.free += capacityChange
+        if (info.capacity != row.info.capacity) {
+            log.event(
+                "backend", "resized", "backend", info.id, "was", row.info.capacity, "is", info.capacity,
+                "free", row.free, "tasks", row.tasks.size,
+            )
+            row.resize(info.capacity)
+        }
         row.info = if (info.incarnation == 0L) info.copy(incarnation = row.info.incarnation) else info
+        row.isDescribed = true
     }
 
     private fun removeBackend(row: BackendRow, nowMs: Long, isReleased: Boolean = false) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Resources.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Resources.kt
@@ -21,6 +21,13 @@
 
     private fun times(has: Int, needed: Int) = if (needed <= 0) Int.MAX_VALUE else (has / needed).coerceAtLeast(0)
 
+    /** The larger of each kind of resource. */
+    public fun coerceAtLeast(other: Resources): Resources = Resources(
+        maxOf(cpuMillis, other.cpuMillis),
+        maxOf(memoryMb, other.memoryMb),
+        maxOf(accelerators, other.accelerators),
+    )
+
     public operator fun plus(other: Resources): Resources =
         Resources(cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, accelerators + other.accelerators)
 
