Count runs that are being stopped and wait for the capacity of a new process

Cause: free capacity was computed from the runs that a report lists. A run that is being stopped may be in neither list of a report for up to 50 ms, its capacity was given away at once, also by an owner that took over in that moment. A process that replaced another got work by the capacity and the labels of the former one until its own entry was read. Backend servers that guard their capacity reject such starts, others run them beyond it.

A run whose stop was requested now keeps its capacity until its end is listed or the time to stop is over, and so does a run without a job. For services that do not guard their capacity, a backend server gets its first work after that time, and a new process when its own entry has been read; a required label is only trusted then, for all services.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -36,7 +36,15 @@
     /** Whether the backend server can start tasks now. */
     fun canStart(row: BackendRow, nowMs: Long): Boolean =
         row.isServing(nowMs) && row.lastReportAtMs != NEVER_MS && row.clockOffsetMs != null &&
-            row.pausedUntilMs <= nowMs && row.unknownRuns.isEmpty() && !row.isBeingProbed
+            row.pausedUntilMs <= nowMs && row.unknownRuns.isEmpty() && !row.isBeingProbed &&
+            (tables.isGuarded(row.info.service) || isCapacityKnown(row, nowMs))
+
+    /**
+     * Whether [BackendRow.free] is certain. A new process may be of another kind, and a run that a previous owner has
+     * stopped uses capacity for a while after it is no longer listed.
+     */
+    private fun isCapacityKnown(row: BackendRow, nowMs: Long): Boolean =
+        row.isDescribed && nowMs - row.reachedAtMs >= STOP_MARGIN_MS
 
     companion object {
         /**
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -110,8 +110,7 @@
         val step = task.step
         // A task that was placed earlier in this pass may have started the probe.
         val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed
-        val hasLabel = step.requiredLabel == null || step.requiredLabel in row.info.labels
-        if (!isServing || !hasLabel || !step.demand.fitsInto(row.free)) return false
+        if (!isServing || !row.hasLabel(step.requiredLabel) || !step.demand.fitsInto(row.free)) return false
         return row !in task.failedOn && isBelowLimit(task, row)
     }
 
@@ -135,6 +134,7 @@
         task.isAdopted = false
         task.confirmedAtMs = Long.MIN_VALUE
         task.donePercent = -1
+        task.missingSinceMs = NEVER_MS
         task.progressAtMs = nowMs
         job.queuedTasks--
         if (++task.starts > 1) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -115,6 +115,7 @@
         row.info = row.info.copy(incarnation = report.incarnation)
         if (row.lastReportAtMs == NEVER_MS || row.isUnreachable) {
             log.event("backend", "reached", "backend", row.info.id, "runs", report.running.size)
+            row.reachedAtMs = nowMs
             crashes.refuteCrashes(row, nowMs)
             row.lapsedTasks = emptyList()
         }
@@ -194,12 +195,23 @@
 
     private fun reconcileRuns(row: BackendRow, report: PollResult.Report, nowMs: Long) {
         val running = report.running.associateBy { it.task }
-        row.unknownRuns.keys.retainAll(running.keys)
+        removeEndedUnknownRuns(row, running.keys, nowMs)
         for (run in report.running) reconcileRun(row, run, nowMs)
         val missing = row.tasks.values.filter { it.run != running[it.key]?.run }
         missing.forEach { onRunMissing(row, it, report.clockMs, nowMs) }
     }
 
+    private fun removeEndedUnknownRuns(row: BackendRow, running: Set<TaskKey>, nowMs: Long) {
+        row.unknownRuns.entries.removeIf { (task, run) ->
+            if (task in running) {
+                run.missingSinceMs = NEVER_MS
+            } else if (run.missingSinceMs == NEVER_MS) {
+                run.missingSinceMs = nowMs
+            }
+            run.missingSinceMs != NEVER_MS && nowMs - run.missingSinceMs >= STOP_MARGIN_MS
+        }
+    }
+
     private fun reconcileRun(row: BackendRow, run: RunProgress, nowMs: Long) {
         val task = row.tasks[run.task]
         if (task == null || task.run != run.run) {
@@ -208,6 +220,7 @@
             return
         }
         if (task.state == TaskState.STARTING || task.state == TaskState.UNCERTAIN) task.state = TaskState.RUNNING
+        task.missingSinceMs = NEVER_MS
         if (task.isStopRequested) {
             if (nowMs - task.stopRequestedAtMs > STOP_RETRY_MS) ends.stop(task, nowMs)
         } else if (run.donePercent != task.donePercent) {
@@ -240,7 +253,7 @@
         // The backend server was missing from the list and is back before the lease has expired.
         val isOwnOrphan = task.isOrphan && task.state == TaskState.UNCERTAIN && task.run == found.run
         val isOpen = task.state == TaskState.QUEUED || task.state == TaskState.BLOCKED || isOwnOrphan
-        if (!isOpen || found.stopSentAtMs != NEVER_MS) return
+        if (!isOpen || found.stopSentAtMs != NEVER_MS || found.missingSinceMs != NEVER_MS) return
         task.isOrphan = false
         row.unknownRuns.remove(task.key)
         if (task.state == TaskState.QUEUED) task.job.queuedTasks--
@@ -270,6 +283,9 @@
             TaskState.BLOCKED, TaskState.QUEUED, TaskState.DONE -> false
         }
         if (!isLost) return
+        // A run that is being stopped uses its capacity until its end is listed.
+        if (task.missingSinceMs == NEVER_MS) task.missingSinceMs = nowMs
+        if (task.isStopRequested && nowMs - task.missingSinceMs < STOP_MARGIN_MS) return
         log.event(
             "dispatch", "run-missing", "job", task.key.job, "task", task.key, "run", task.run,
             "backend", row.info.id, "state", task.state,
@@ -320,6 +336,7 @@
         row.pollSentAtMs = nowMs
         row.free = row.info.capacity
         row.info = row.info.copy(incarnation = 0)
+        row.isDescribed = false
     }
 
     /**
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/IsolationSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/IsolationSystem.kt
@@ -41,9 +41,7 @@
         return row
     }
 
-    private fun isSuitable(task: TaskRow, row: BackendRow): Boolean {
-        val label = task.step.requiredLabel
-        return task.step.demand.fitsInto(row.info.capacity) && row !in task.failedOn &&
-            (label == null || label in row.info.labels)
-    }
+    private fun isSuitable(task: TaskRow, row: BackendRow): Boolean =
+        task.step.demand.fitsInto(row.info.capacity) && row !in task.failedOn &&
+            row.hasLabel(task.step.requiredLabel)
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CapacityTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CapacityTest.kt
@@ -12,10 +12,11 @@
 
     private fun simulation(backends: Int) = SimulatedBackends().apply {
         rejectsOverload = false
+        stopMs = 50
         configure(SimulatedBackends.queue())
         repeat(backends) { add("b$it") }
         takeOver()
-        run(untilMs = 100)
+        run(untilMs = 200)
     }
 
     private fun SimulatedBackends.resize(id: String, cores: Int) {
@@ -30,7 +31,7 @@
         val sim = simulation(backends = 1)
         sim.workMs = { 500 }
         sim.submit(sim.job("first", tasks = 2, estimateMs = 500), timeoutMs = 5_000)
-        sim.run(untilMs = 150)
+        sim.run(untilMs = 250)
         sim.resize("b0", cores = 7)
         sim.submit(sim.job("second", tasks = 1, estimateMs = 500), timeoutMs = 5_000, progress = notStarted)
         sim.run(untilMs = 500)
@@ -86,4 +87,21 @@
         result.code shouldBe NotRunCode.OVERLOAD
         (result.retryAfterMs != null) shouldBe true
     }
+
+    /** Guards against a new owner that does not see the runs which the previous one has just stopped. */
+    @Test
+    fun `a new owner leaves the capacity of runs that are being stopped`() {
+        val sim = simulation(backends = 1)
+        sim.listsStoppingRuns = false
+        sim.workMs = { 5_000 }
+        sim.submit(sim.job("stopped", tasks = 2, estimateMs = 5_000), timeoutMs = 20_000)
+        sim.run(untilMs = 1_000)
+        sim.dispatcher.cancelForAll(JobId("stopped"))
+        sim.run(untilMs = 1_002)
+        sim.replaceOwner(token = 2)
+        sim.submit(sim.job("next", tasks = 2, estimateMs = 5_000), timeoutMs = 20_000, progress = notStarted)
+        sim.run(untilMs = 2_000)
+        sim.backends.getValue("b0").running.size shouldBe 2
+        sim.overloadMillis shouldBe 0
+    }
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -45,6 +45,9 @@
     /** Whether backend servers reject starts that exceed their capacity. */
     var rejectsOverload = true
 
+    /** How long a run goes on after its stop was acknowledged. */
+    var stopMs = 20L
+
     /** Whether a poll lists runs that are being stopped. */
     var listsStoppingRuns = true
 
@@ -259,7 +262,7 @@
             } else {
                 if (run?.run == command.run) {
                     run.isStopping = true
-                    after(STOP_MS) { backend.end(command.task, run, RunOutcome.STOPPED) }
+                    after(stopMs) { backend.end(command.task, run, RunOutcome.STOPPED) }
                 }
                 after(1) { owner.onStopResult(command, isAcknowledged = true) }
             }
@@ -328,7 +331,6 @@
         const val TICK_MS = 20L
         const val TIMEOUT_MS = 120L
         const val MAX_LEASE_MS = 1_000L
-        const val STOP_MS = 20L
 
         /** How long a crashed backend server is away. */
         const val DOWN_MS = 3_000L
