--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -28,10 +28,7 @@
         val job = JobRow(request, queue, arrivedAtMs, deadlineMs)
         estimate(job)
         if (progress != null) return AdmissionDecision.Admitted(job)
-        infeasibleReasonOrNull(job) { it.largestCapacity }
-            ?.let { return refused(request, NotRunCode.CAN_NEVER_RUN, it, null) }
-        infeasibleReasonOrNull(job) { it.info.capacity }
-            ?.let { return refused(request, NotRunCode.OVERLOAD, "$it at its present capacity", SHORT_RETRY_MS) }
+        infeasible(job)?.let { return it }
         if (tables.jobs.size >= settings.maxOpenJobs) {
             return refused(request, NotRunCode.OVERLOAD, "${settings.maxOpenJobs} jobs are open", SHORT_RETRY_MS)
         }
@@ -54,6 +51,14 @@
         job.lastUsefulStartMs = maxOf(job.latestStartMs, job.arrivedAtMs + (usefulMs - reservedMs).toLong())
     }
 
+    /** Refuses a job of which a task fits on no backend server, only for now if it has fitted on one before. */
+    private fun infeasible(job: JobRow): AdmissionDecision? {
+        infeasibleReasonOrNull(job) { it.largestCapacity }
+            ?.let { return refused(job.request, NotRunCode.CAN_NEVER_RUN, it, null) }
+        return infeasibleReasonOrNull(job) { it.info.capacity }
+            ?.let { refused(job.request, NotRunCode.OVERLOAD, "$it at its present capacity", SHORT_RETRY_MS) }
+    }
+
     private fun infeasibleReasonOrNull(job: JobRow, capacity: (BackendRow) -> Resources): String? {
         val backends = tables.backends.values.filter { it.info.service == job.queue.service }
         if (backends.isEmpty()) return null
