Fail the job of a crashing task as soon as its last crash is certain

Three in a rack must now be lost within 0.15 s, as connections to one that loses power break at once. The result needs no lease, since nothing starts again; it is sent when the backend server has refused connections for 0.3 s.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -1,5 +1,7 @@
 package medlarroute.dispatch
 
+import kotlin.math.abs
+
 /**
  * Finds out which tasks crash the backend servers that start them, and decides when a task is given up.
  *
@@ -38,27 +40,36 @@
     }
 
     /**
-     * Called when the tasks of [row] are about to start elsewhere. If much of its rack was lost at the same time, the
-     * tasks are not the likely cause.
+     * Called before the tasks of [row] start elsewhere or are given up. If much of its rack was lost at the same time,
+     * the tasks are not the likely cause.
      */
     fun reviewLoss(row: BackendRow, nowMs: Long) {
-        if (!isLostWithOthers(row)) return
+        val lost = lostInRack(row) ?: return
         val crash = BackendCrash(row.info.id, row.info.incarnation, wasAlone = false)
         val suspects = row.tasks.keys.filter { tables.histories.find(it) != null }
-        publish(suspects.mapNotNull { merge(TaskHistory(it, crashes = listOf(crash)), nowMs) })
+        val cleared = suspects.mapNotNull { merge(TaskHistory(it, crashes = listOf(crash)), nowMs) }
+        if (cleared.isEmpty()) return
+        log.event("backend", "rack-lost", "backend", row.info.id, "rack", row.info.rack, "lost", lost)
+        publish(cleared)
     }
 
-    private fun isLostWithOthers(row: BackendRow): Boolean {
-        val rack = row.info.rack ?: return false
+    /** Number of backend servers in the rack of [row] that were lost together with it; null if they were few. */
+    private fun lostInRack(row: BackendRow): Int? {
+        val rack = row.info.rack ?: return null
         val neighbours =
             tables.backends.values.filter { it.info.rack == rack && it.info.failureDomain == row.info.failureDomain }
         val lost = neighbours.count {
-            it.isUnreachable &&
-                it.unreachableSinceMs in row.unreachableSinceMs.let { at -> at - JOINT_MS..at + JOINT_MS }
+            it.isUnreachable && abs(it.unreachableSinceMs - row.unreachableSinceMs) <= JOINT_LOSS_MS
         }
-        return lost >= 2 && lost * 2 >= neighbours.size
+        return lost.takeIf { it >= MIN_JOINT_LOSS && it * 2 >= neighbours.size }
     }
 
+    /** Results of the jobs on [row] of which a task is given up. The crash must be certain by now. */
+    fun jobsToFail(row: BackendRow): Map<JobRow, JobResult.Failed> =
+        row.tasks.values.filterNot { it.job.ended }
+            .mapNotNull { task -> resultOrNull(task)?.let { task.job to it } }
+            .toMap()
+
     /** The process of [row] has answered, so it has not crashed. */
     fun refuteCrashes(row: BackendRow, nowMs: Long) {
         val refuted = tables.histories.all.mapNotNull { history ->
@@ -117,8 +128,11 @@
     }
 
     private companion object {
-        /** Backend servers of a rack that lose power together are noticed within this time of each other. */
-        const val JOINT_MS = 400L
+        /** Connections to backend servers of a rack that are lost together break within this time. */
+        const val JOINT_LOSS_MS = 150L
+
+        /** Two crashes at about the same time may be chance. */
+        const val MIN_JOINT_LOSS = 3
     }
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -372,6 +372,7 @@
         for (row in tables.backends.values) {
             stopUnknownRuns(row, nowMs)
             row.unclaimedCompletions.values.removeIf { nowMs - it > settings.unclaimedCompletionMs }
+            if (row.isRefusing && nowMs - row.unreachableSinceMs >= settings.crashConfirmationMs) failJobs(row, nowMs)
             val runsEndMs = row.leaseEndMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
             if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > runsEndMs) {
                 log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
@@ -389,6 +390,13 @@
         }
     }
 
+    /** Ends the jobs whose tasks have crashed [row]; their callers need not wait for the leases to expire. */
+    private fun failJobs(row: BackendRow, nowMs: Long) {
+        if (row.tasks.isEmpty()) return
+        crashes.reviewLoss(row, nowMs)
+        crashes.jobsToFail(row).forEach { (job, result) -> ends.end(job, result, nowMs) }
+    }
+
     private fun stopUnknownRuns(row: BackendRow, nowMs: Long) {
         val token = tables.token(row) ?: return
         for ((task, run) in row.unknownRuns) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -23,6 +23,8 @@
  * @property crashesOfCause number of backend servers that must have crashed under a task before it is given up, if it
  *   ran alone on at least one of them.
  * @property maxCrashes number of backend servers after whose crash a task is given up in any case.
+ * @property crashConfirmationMs how long a backend server must have refused connections before a task is given up for
+ *   its crash; longer than the losses of the backend servers of a rack are apart.
  * @property isolationShare maximum fraction of the backend servers that may be reserved for tasks with a crash.
  * @property historyRetentionMs how long the history of a task is kept after its last change and the end of its job;
  *   longer than a caller repeats a job.
@@ -44,6 +46,7 @@
     val maxOpenJobs: Int = 5_000,
     val crashesOfCause: Int = 2,
     val maxCrashes: Int = 3,
+    val crashConfirmationMs: Long = 300,
     val isolationShare: Double = 0.25,
     val historyRetentionMs: Long = 60_000,
 )
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -25,7 +25,8 @@
         sim.run(untilMs = 20_000)
         sim.startsByTask[guilty] shouldBe 2
         sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
-        sim.resultAtMs.getValue(JobId("guilty")) shouldBeLessThan 3_000L
+        // The second start waits for the lease of the first run; the result does not wait for that of the second.
+        sim.resultAtMs.getValue(JobId("guilty")) shouldBeLessThan 1_800L
     }
 
     /** Guards against a count that only covers backend servers which restart under their former id. */
@@ -90,7 +91,7 @@
         val sim = simulation()
         val request = sim.job("guilty", tasks = 1)
         sim.submit(request, timeoutMs = 60_000)
-        sim.run(untilMs = 2_000)
+        sim.run(untilMs = 500)
         val progress = sim.dispatcher.handOver().single().third
         sim.replaceOwner(token = 2)
         sim.submit(request, timeoutMs = 60_000, progress = progress)
@@ -163,6 +164,26 @@
         sim.results[JobId("innocent")] shouldBe JobResult.Complete
     }
 
+    /** Guards against clearing a task since another task has crashed a backend server of a small rack just then. */
+    @Test
+    fun `two crashes at the same time in a small rack do not clear a task`() {
+        val sim = SimulatedBackends().apply {
+            configure(SimulatedBackends.queue())
+            repeat(9) { number -> add("b$number", rack = "r${number / 3}") }
+            takeOver()
+            crashesAfterMs = { task -> if (task == guilty) 5 else null }
+            run(untilMs = 100)
+        }
+        sim.submit(sim.job("guilty", tasks = 1), timeoutMs = 60_000)
+        sim.run(untilMs = 500)
+        while (sim.startsByTask[guilty] == 1) sim.run(sim.nowMs + 1)
+        val rack = sim.backends.values.first { guilty in it.running }.info.rack
+        sim.backends.values.first { it.info.rack == rack && guilty !in it.running }.stopProcess()
+        sim.run(untilMs = 20_000)
+        sim.startsByTask[guilty] shouldBe 2
+        sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
+    }
+
     /** Guards against waiting for an idle backend server for ever when all have work all the time. */
     @Test
     fun `a suspect gets a backend server of its own although all are busy`() {
