Do not eject backend servers for a task that hangs on each of them

Only the first hang of a task now speaks against its backend server, and the time allowed doubles with each. The check in CrashingTaskTest failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -226,12 +226,15 @@
         } else if (run.donePercent != task.donePercent) {
             task.donePercent = run.donePercent
             task.progressAtMs = nowMs
-        } else if (nowMs - task.progressAtMs > settings.hangTimeoutMs) {
+        } else if (nowMs - task.progressAtMs > settings.hangTimeoutMs shl task.hangs.coerceAtMost(MAX_DOUBLINGS)) {
             log.event(
                 "dispatch", "run-hung", "job", task.key.job, "task", task.key, "run", task.run,
                 "backend", row.info.id, "percent", run.donePercent, "forMs", nowMs - task.progressAtMs,
             )
-            health.recordFailure(row, "hung run", nowMs, weight = BackendHealthSystem.EJECT_AFTER)
+            // If the task has hung on another backend server before, the task is the more likely cause.
+            if (task.hangs++ == 0) {
+                health.recordFailure(row, "hung run", nowMs, weight = BackendHealthSystem.EJECT_AFTER)
+            }
             ends.stop(task, nowMs)
         }
     }
@@ -420,6 +423,9 @@
         const val NO_CAPACITY_PAUSE_MS = 30L
         const val STOP_RETRY_MS = 500L
 
+        /** A long task on a slow backend server may report the same percentage for seconds. */
+        const val MAX_DOUBLINGS = 4
+
         /** Longer than a lease, the detection of a silent owner and a takeover together. */
         const val REPLACEMENT_MS = 3_000L
     }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -215,4 +215,15 @@
         sim.run(untilMs = 6_700)
         sim.results[JobId("wide")] shouldBe JobResult.Complete
     }
+
+    /** Guards against ejecting one backend server after the other for a task that makes no progress anywhere. */
+    @Test
+    fun `a task that makes no progress ejects at most one backend server`() {
+        val sim = simulation(backends = 6)
+        sim.workMs = { task -> if (task.job == JobId("stuck")) 300_000 else 50 }
+        sim.submit(sim.job("stuck", tasks = 1), timeoutMs = 15_000)
+        sim.run(untilMs = 14_000)
+        sim.events.count { it.startsWith("backend ejected") } shouldBeLessThan 2
+        sim.startsByTask.getValue(TaskKey(JobId("stuck"), 0, 0)) shouldBeLessThan 7
+    }
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -31,6 +31,9 @@
     /** Delay of start commands that get no response and are carried out late; null for normal ones. */
     var lateByMs: (StartCommand) -> Long? = { null }
     var starts = 0
+
+    /** Number of polls by the id of the backend server. */
+    val polls = HashMap<String, Int>()
     val startsByTask = HashMap<TaskKey, Int>()
 
     /** Tasks that end the process of the backend server that starts them, with the delay after the start. */
@@ -270,6 +273,7 @@
     }
 
     override fun poll(request: PollRequest, number: Long) {
+        polls.merge(request.backend.id, 1, Int::plus)
         val owner = dispatcher
         after(1) {
             val backend = backends[request.backend.id]
