Poll a backend server rarely once another process has its address

A backend server that restarts under another id is listed under the former one for up to five seconds. The former process is not coming back at that address, so it is asked every 2 s, does not count as capacity, and is logged once. The check in DispatcherTest failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendPollSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendPollSystem.kt
@@ -14,8 +14,11 @@
         }
     }
 
-    private fun nextPollMs(row: BackendRow): Long =
-        if (row.isUnreachable) row.pollSentAtMs + UNREACHABLE_INTERVAL_MS else row.pollSentAtMs
+    private fun nextPollMs(row: BackendRow): Long = row.pollSentAtMs + when {
+        row.isDisplaced -> DISPLACED_INTERVAL_MS
+        row.isUnreachable -> UNREACHABLE_INTERVAL_MS
+        else -> 0
+    }
 
     private fun poll(row: BackendRow, nowMs: Long) {
         val token = tables.token(row) ?: return
@@ -41,6 +44,9 @@
 
     private companion object {
         const val UNREACHABLE_INTERVAL_MS = 250L
+
+        /** The entry of the former process expires within a few seconds. */
+        const val DISPLACED_INTERVAL_MS = 2_000L
     }
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -98,7 +98,10 @@
             // A partition may also reject connections, so the runs count as active until their lease has expired.
             PollResult.Refused -> markRefused(row, nowMs)
 
-            PollResult.Replaced -> onReplaced(row, "another process has the address", nowMs)
+            PollResult.Replaced -> {
+                if (!row.isDisplaced) onReplaced(row, "another process has the address", nowMs)
+                row.isDisplaced = true
+            }
 
             is PollResult.Failed -> {
                 row.isRefusing = false
@@ -121,6 +124,7 @@
         }
         row.unreachableSinceMs = NEVER_MS
         row.isRefusing = false
+        row.isDisplaced = false
         row.clockOffsetMs = report.clockMs - nowMs
         row.lastReportAtMs = nowMs
         report.ended.forEach { onRunEnd(row, it, nowMs) }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -14,8 +14,8 @@
  * @property unknownRunGraceMs how long a run that belongs to no job is left running. Gives the instance that holds the
  *   job time to resubmit it after the owner died.
  * @property unclaimedCompletionMs how long the completion of a run that belongs to no job is kept for a resubmission.
- * @property hangTimeoutMs time without progress after which a run counts as hung. It doubles each time that the task has
- *   hung.
+ * @property hangTimeoutMs time without progress after which a run counts as hung. It doubles each time that the task
+ *   has hung.
  * @property firstEjectionMs duration of the first ejection of a backend server after consecutive failures. It doubles
  *   with each further ejection up to [maxEjectionMs].
  * @property overheadMs time from the first byte of a request to the start of a task, plus the time from the end of the
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -184,6 +184,9 @@
     var leaseEndMs = NEVER_MS
     var unreachableSinceMs = NEVER_MS
 
+    /** Whether another process has its address. It is back only if it is listed with another address or process. */
+    var isDisplaced = false
+
     /** Whether the last poll or start was refused: no process listens at the address, or a partition rejects it. */
     var isRefusing = false
     var removed = false
@@ -211,7 +214,7 @@
     val isBeingProbed: Boolean get() = isOnProbation && tasks.isNotEmpty()
 
     /** Whether it contributes to the capacity: neither draining, unreachable nor ejected. */
-    fun isServing(nowMs: Long): Boolean = !info.draining && !isUnreachable && ejectedUntilMs <= nowMs
+    fun isServing(nowMs: Long): Boolean = !info.draining && !isUnreachable && !isDisplaced && ejectedUntilMs <= nowMs
 
     fun hasLabel(required: String?): Boolean = required == null || (isDescribed && required in info.labels)
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -104,6 +104,7 @@
         if (!info.isSameProcess(row.info)) {
             replies.onReplaced(row, "listed with another process", nowMs)
             row.info = info
+            row.isDisplaced = false
             return
         }
         if (info.draining != row.info.draining) {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -155,6 +155,24 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /** Guards against asking a backend server that has gone every quarter of a second until its entry expires. */
+    @Test
+    fun `a backend server whose address another process has is rarely polled`() {
+        val sim = simulation(backends = 2)
+        sim.restartsUnderNewId = true
+        val former = sim.backends.getValue("b0").info
+        sim.backends.getValue("b0").stopProcess()
+        sim.run(untilMs = 3_500)
+        sim.dispatcher.updateBackends(sim.backends.values.map { it.info } + former)
+        val pollsBefore = sim.polls["b0"] ?: 0
+        sim.run(untilMs = 7_500)
+        ((sim.polls["b0"] ?: 0) - pollsBefore) shouldBeLessThan 4
+        sim.events.count { it.startsWith("backend replaced backend b0") } shouldBe 1
+        sim.submit(sim.job("j", tasks = 4))
+        sim.run(untilMs = 8_000)
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
     /** Guards against comparing incarnations: the clock of a machine may be set back between two processes. */
     @Test
     fun `a new process with an earlier start time replaces the previous one`() {
