--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -53,6 +53,9 @@
     /** Number of open jobs under this instance's ownership. */
     public val openJobs: Int get() = dispatcher.openJobs
 
+    /** Number of tasks that are known to have been on crashed backend servers. */
+    public val suspects: Int get() = dispatcher.histories.count { it.activeCrashes.isNotEmpty() }
+
     /** Whether this instance can accept jobs now. */
     public val isReady: Boolean
         get() = !leaving && configuration != null && ownerClient.ownerOrNull() != null &&
