--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -40,28 +40,35 @@
     }
 
     /**
-     * Called before the tasks of [row] start elsewhere or are given up. If much of its rack was lost at the same time,
-     * the tasks are not the likely cause.
+     * Called before the tasks of [row] start elsewhere or are given up. If many other backend servers were lost at the
+     * same time, the tasks are not the likely cause.
      */
     fun reviewLoss(row: BackendRow, nowMs: Long) {
-        val lost = lostInRack(row) ?: return
+        val lost = lostTogetherWith(row)
+        if (!isJointLoss(row, lost)) return
         val crash = BackendCrash(row.info.id, row.info.incarnation, wasAlone = false)
         val suspects = row.tasks.keys.filter { tables.histories.find(it) != null }
         val cleared = suspects.mapNotNull { merge(TaskHistory(it, crashes = listOf(crash)), nowMs) }
         if (cleared.isEmpty()) return
-        log.event("backend", "rack-lost", "backend", row.info.id, "rack", row.info.rack, "lost", lost)
+        log.event("backend", "joint-loss", "backend", row.info.id, "rack", row.info.rack, "lost", lost.size)
         publish(cleared)
     }
 
-    /** Number of backend servers in the rack of [row] that were lost together with it; null if they were few. */
-    private fun lostInRack(row: BackendRow): Int? {
-        val rack = row.info.rack ?: return null
-        val neighbours =
-            tables.backends.values.filter { it.info.rack == rack && it.info.failureDomain == row.info.failureDomain }
-        val lost = neighbours.count {
-            it.isUnreachable && abs(it.unreachableSinceMs - row.unreachableSinceMs) <= JOINT_LOSS_MS
-        }
-        return lost.takeIf { it >= MIN_JOINT_LOSS && it * 2 >= neighbours.size }
+    private fun lostTogetherWith(row: BackendRow): List<BackendRow> = tables.backends.values.filter {
+        it.isUnreachable && abs(it.unreachableSinceMs - row.unreachableSinceMs) <= JOINT_LOSS_MS
+    }
+
+    private fun isJointLoss(row: BackendRow, lost: List<BackendRow>): Boolean {
+        if (lost.size < MIN_JOINT_LOSS) return false
+        return lost.size >= tables.backends.size * JOINT_LOSS_SHARE || isRackLost(row, lost)
+    }
+
+    private fun isRackLost(row: BackendRow, lost: List<BackendRow>): Boolean {
+        val rack = row.info.rack ?: return false
+        fun isNeighbour(other: BackendRow) =
+            other.info.rack == rack && other.info.failureDomain == row.info.failureDomain
+        val lostInRack = lost.count(::isNeighbour)
+        return lostInRack >= MIN_JOINT_LOSS && lostInRack * 2 >= tables.backends.values.count(::isNeighbour)
     }
 
     /** Results of the jobs on [row] of which a task is given up. The crash must be certain by now. */
@@ -133,6 +140,9 @@
 
         /** Two crashes at about the same time may be chance. */
         const val MIN_JOINT_LOSS = 3
+
+        /** Fraction of all backend servers whose loss at the same time has a common cause, such as a partition. */
+        const val JOINT_LOSS_SHARE = 0.1
     }
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -47,7 +47,9 @@
 
     /** Adds what another instance knows of tasks. */
     public fun learn(histories: List<TaskHistory>) {
-        crashes.mergeAll(histories, nowMs())
+        val nowMs = nowMs()
+        crashes.mergeAll(histories, nowMs)
+        tables.histories.prune(nowMs) { it in tables.jobs }
     }
 
     /** Number of admitted jobs of [queue] of which no task was started yet. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistoryTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistoryTable.kt
@@ -27,7 +27,8 @@
     }
 
     fun prune(nowMs: Long, isOpen: (JobId) -> Boolean) {
-        if (entries.isEmpty()) return
+        val oldestAtMs = entries.values.firstOrNull()?.changedAtMs ?: return
+        if (nowMs - oldestAtMs <= retentionMs) return
         entries.entries.removeIf { (task, entry) -> nowMs - entry.changedAtMs > retentionMs && !isOpen(task.job) }
     }
 
