Hold a task that may have crashed three backend servers

There, a crashed backend server accepts connections and closes them, so it is silent rather than refusing, and the evidence, another process, comes only after the task has been started on the next one. The count was right but always late.

A loss without evidence is now recorded as a possible crash. A task that may have crashed three waits until one of the processes has answered, which refutes the crash, or has been replaced, which proves it; a new owner does the same for the losses that earlier owners have seen. A task that was on a silent backend server runs alone if one is idle, but does not wait for that, and losses of many at once single out no task. Both new checks in CrashingTaskTest failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -6,11 +6,12 @@
  * Finds out which tasks crash the backend servers that start them, and decides when a task is given up.
  *
  * A crash counts for each task whose run may have been active. It shows by a refused connection or by another process
- * under the same id or address; silence alone is no evidence, since a partition or a pause looks the same. A backend
- * server that was about to leave does not count. A crash is refuted if the process is reached again.
+ * under the same id or address. Silence alone is no evidence, since a partition or a pause looks the same, but the task
+ * waits if it might have crashed as many backend servers as are allowed. A backend server that was about to leave does
+ * not count. A crash is refuted if the process is reached again.
  *
- * A task with a crash runs alone from then on (see [IsolationSystem]), so a second crash tells it from those that only
- * ran beside it.
+ * A task on a lost backend server runs alone from then on (see [IsolationSystem]), unless many were lost together, so a
+ * second crash tells it from those that only ran beside it.
  */
 internal class CrashSystem(
     private val settings: DispatchSettings,
@@ -20,20 +21,26 @@
 ) {
     /** The process of [row] seems to have ended. */
     fun recordCrash(row: BackendRow, evidence: CrashEvidence, nowMs: Long) {
-        val tasks = row.tasks.values + row.lapsedTasks
+        record(row, row.tasks.values + row.lapsedTasks, evidence, nowMs)
+        if (evidence == CrashEvidence.REPLACED) proveLosses(row, nowMs) { it.incarnation == row.info.incarnation }
+    }
+
+    private fun record(row: BackendRow, tasks: List<TaskRow>, evidence: CrashEvidence, nowMs: Long) {
         if (tasks.isEmpty()) return
         if (row.info.draining) {
             log.event("backend", "crash-ignored", "backend", row.info.id, "reason", "draining", "tasks", tasks.size)
             return
         }
         val wasAlone = tasks.size == 1 && row.unknownRuns.isEmpty()
-        val crash = BackendCrash(row.info.id, row.info.incarnation, wasAlone)
+        val isProven = evidence != CrashEvidence.SILENT
+        val crash = BackendCrash(row.info.id, row.info.incarnation, wasAlone, isJoint = false, isProven)
         val changed = tasks.mapNotNull { merge(TaskHistory(it.key, crashes = listOf(crash)), nowMs) }
         for (history in changed) {
             log.event(
                 "dispatch", "task-suspected", "job", history.task.job, "task", history.task,
                 "backend", row.info.id, "incarnation", row.info.incarnation, "evidence", evidence,
-                "beside", tasks.size - 1, "crashes", history.activeCrashes.size,
+                "beside", tasks.size - 1, "crashes", history.provenCrashes.size,
+                "possible", history.possibleCrashes.size,
             )
         }
         publish(changed)
@@ -44,9 +51,11 @@
      * same time, the tasks are not the likely cause.
      */
     fun reviewLoss(row: BackendRow, nowMs: Long) {
+        if (!row.isRefusing) record(row, row.tasks.values.toList(), CrashEvidence.SILENT, nowMs)
         val lost = lostTogetherWith(row)
         if (!isJointLoss(row, lost)) return
-        val crash = BackendCrash(row.info.id, row.info.incarnation, wasAlone = false)
+        val crash =
+            BackendCrash(row.info.id, row.info.incarnation, wasAlone = false, isJoint = true, isProven = false)
         val suspects = row.tasks.keys.filter { tables.histories.find(it) != null }
         val cleared = suspects.mapNotNull { merge(TaskHistory(it, crashes = listOf(crash)), nowMs) }
         if (cleared.isEmpty()) return
@@ -54,8 +63,11 @@
         publish(cleared)
     }
 
-    private fun lostTogetherWith(row: BackendRow): List<BackendRow> = tables.backends.values.filter {
-        it.isUnreachable && abs(it.unreachableSinceMs - row.unreachableSinceMs) <= JOINT_LOSS_MS
+    private fun lostTogetherWith(row: BackendRow): List<BackendRow> {
+        val withinMs = if (row.isRefusing) JOINT_LOSS_MS else JOINT_SILENCE_MS
+        return tables.backends.values.filter {
+            it.isUnreachable && abs(it.unreachableSinceMs - row.unreachableSinceMs) <= withinMs
+        }
     }
 
     private fun isJointLoss(row: BackendRow, lost: List<BackendRow>): Boolean {
@@ -77,22 +89,42 @@
             .mapNotNull { task -> resultOrNull(task)?.let { task.job to it } }
             .toMap()
 
-    /** The process of [row] has answered, so it has not crashed. */
-    fun refuteCrashes(row: BackendRow, nowMs: Long) {
+    /** The process of [row] has answered: it has not crashed, but earlier ones under its id have. */
+    fun onReached(row: BackendRow, nowMs: Long) {
+        proveLosses(row, nowMs) { it.incarnation != row.info.incarnation }
         val refuted = tables.histories.all.mapNotNull { history ->
-            val crash = history.activeCrashes
+            val crash = history.possibleCrashes
                 .find { it.backend == row.info.id && it.incarnation == row.info.incarnation } ?: return@mapNotNull null
             merge(TaskHistory(history.task, crashes = listOf(crash.copy(isRefuted = true))), nowMs)
         }
         for (history in refuted) {
             log.event(
                 "dispatch", "crash-refuted", "job", history.task.job, "task", history.task,
-                "backend", row.info.id, "incarnation", row.info.incarnation, "crashes", history.activeCrashes.size,
+                "backend", row.info.id, "incarnation", row.info.incarnation, "possible", history.possibleCrashes.size,
             )
         }
         publish(refuted)
     }
 
+    /** The processes of [row] that [isEnded] selects have ended, also those that other owners have only seen silent. */
+    private fun proveLosses(row: BackendRow, nowMs: Long, isEnded: (BackendCrash) -> Boolean) {
+        val proven = tables.histories.all.mapNotNull { history ->
+            val ended = history.possibleCrashes.filter { it.backend == row.info.id && !it.isProven && isEnded(it) }
+            if (ended.isEmpty()) return@mapNotNull null
+            merge(TaskHistory(history.task, crashes = ended.map { it.copy(isProven = true) }), nowMs)
+        }
+        publish(proven)
+    }
+
+    /** Results of the jobs of which a waiting task is given up, since losses have been proved meanwhile. */
+    fun waitingJobsToFail(): Map<JobRow, JobResult.Failed> {
+        if (tables.histories.size == 0) return emptyMap()
+        return tables.waiting.asSequence().flatMap { it.allTasks() }
+            .filter { it.state == TaskState.QUEUED }
+            .mapNotNull { task -> resultOrNull(task)?.let { task.job to it } }
+            .toMap()
+    }
+
     /** A run of [task] has failed. */
     fun recordFailure(task: TaskRow, nowMs: Long) {
         merge(TaskHistory(task.key, failures = task.failures + 1), nowMs)
@@ -110,8 +142,8 @@
     /** The result of a job of which no task may be started any more because of [task]; null if it may. */
     fun resultOrNull(task: TaskRow): JobResult.Failed? {
         val history = task.history ?: return null
-        val crashes = history.activeCrashes
-        val isLikelyCause = crashes.size >= settings.crashesOfCause && crashes.any { it.wasAlone }
+        val crashes = history.provenCrashes
+        val isLikelyCause = crashes.size >= settings.crashesOfCause && crashes.any { it.wasAlone && !it.isJoint }
         return when {
             history.failures >= task.job.queue.maxAttempts -> JobResult.Failed(
                 "a task has failed ${task.failures} times",
@@ -138,6 +170,9 @@
         /** Connections to backend servers of a rack that are lost together break within this time. */
         const val JOINT_LOSS_MS = 150L
 
+        /** Silence is noticed when a poll has got no response, which differs by as much as a poll takes. */
+        const val JOINT_SILENCE_MS = 800L
+
         /** Two crashes at about the same time may be chance. */
         const val MIN_JOINT_LOSS = 3
 
@@ -146,5 +181,5 @@
     }
 }
 
-/** How it was noticed that a process of a backend server has ended. */
-internal enum class CrashEvidence { REFUSED, REPLACED }
+/** How it was noticed that a process of a backend server may have ended. */
+internal enum class CrashEvidence { REFUSED, REPLACED, SILENT }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -64,8 +64,13 @@
 
     private fun placeTasks(job: JobRow, nowMs: Long) {
         for (task in job.allTasks()) {
-            if (task.state != TaskState.QUEUED || nowMs < task.notBeforeMs) continue
-            val row = if (task.isSuspect) isolation.chooseBackend(task, nowMs) else chooseUnlessBlocked(task, nowMs)
+            val isHeld = task.possibleCrashes >= settings.maxCrashes
+            if (task.state != TaskState.QUEUED || nowMs < task.notBeforeMs || isHeld) continue
+            val row = when {
+                task.isSuspect -> isolation.chooseBackend(task, nowMs)
+                task.wasOnSilent -> isolation.chooseIdle(task, nowMs) ?: chooseUnlessBlocked(task, nowMs)
+                else -> chooseUnlessBlocked(task, nowMs)
+            }
             row?.let { start(task, it, nowMs) }
         }
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -119,7 +119,7 @@
         if (row.lastReportAtMs == NEVER_MS || row.isUnreachable) {
             log.event("backend", "reached", "backend", row.info.id, "runs", report.running.size)
             row.reachedAtMs = nowMs
-            crashes.refuteCrashes(row, nowMs)
+            crashes.onReached(row, nowMs)
             row.lapsedTasks = emptyList()
         }
         row.unreachableSinceMs = NEVER_MS
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -26,7 +26,8 @@
  * @property maxCrashes number of backend servers after whose crash a task is given up in any case.
  * @property crashConfirmationMs how long a backend server must have refused connections before a task is given up for
  *   its crash; longer than the losses of the backend servers of a rack are apart.
- * @property isolationShare maximum fraction of the backend servers that may be reserved for tasks with a crash.
+ * @property isolationShare maximum fraction of the backend servers that may be reserved for tasks with a crash while
+ *   they are busy.
  * @property historyRetentionMs how long the history of a task is kept after its last change and the end of its job;
  *   longer than a caller repeats a job.
  * @property maxOpenJobs maximum number of open jobs; bounds memory.
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -63,8 +63,14 @@
 
     val failures: Int get() = history?.failures ?: 0
 
-    /** Whether the task may crash the backend server that starts it. */
-    val isSuspect: Boolean get() = history?.crashes?.any { !it.isRefuted } == true
+    /** Whether there is evidence that the task crashes the backend server that starts it. */
+    val isSuspect: Boolean get() = history?.provenCrashes?.any { !it.isJoint } == true
+
+    /** Whether the task was on a backend server that became silent, for which there may be other causes. */
+    val wasOnSilent: Boolean get() = history?.possibleCrashes?.any { !it.isJoint } == true
+
+    /** Number of backend servers that the task may have crashed. */
+    val possibleCrashes: Int get() = history?.possibleCrashes?.size ?: 0
 
     val isStopRequested: Boolean get() = stopRequestedAtMs != NEVER_MS
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -247,6 +247,7 @@
     public fun tick() {
         val nowMs = nowMs()
         replies.runTimers(nowMs)
+        crashes.waitingJobsToFail().forEach { (job, result) -> ends.end(job, result, nowMs) }
         ends.runDeadlines(nowMs)
         tables.histories.prune(nowMs) { it in tables.jobs }
         polls.run(nowMs)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -54,7 +54,7 @@
     public val openJobs: Int get() = dispatcher.openJobs
 
     /** Number of tasks that are known to have been on crashed backend servers. */
-    public val suspects: Int get() = dispatcher.histories.count { it.activeCrashes.isNotEmpty() }
+    public val suspects: Int get() = dispatcher.histories.count { it.possibleCrashes.isNotEmpty() }
 
     /** Whether this instance can accept jobs now. */
     public val isReady: Boolean
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/IsolationSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/IsolationSystem.kt
@@ -3,8 +3,8 @@
 /**
  * Lets tasks that may crash their backend server run alone, so that no other run is lost with it.
  *
- * If no backend server is idle, one is reserved: it starts nothing else until the task has ended. The number of such
- * backend servers is limited, so that suspects do not take the capacity of the other tasks.
+ * If no backend server is idle, one is reserved: it starts nothing else until the task has ended. The number of
+ * reserved ones is limited, so that suspects do not take the capacity of the other tasks.
  */
 internal class IsolationSystem(
     private val settings: DispatchSettings,
@@ -26,19 +26,33 @@
     }
 
     private fun reserve(task: TaskRow, nowMs: Long): BackendRow? {
+        idleOrNull(task, nowMs)?.let { return it.also { row -> assign(row, task) } }
         val serving = tables.backends.values.filter { it.info.service == task.job.queue.service && it.isServing(nowMs) }
         val limit = (serving.size * settings.isolationShare).toInt().coerceAtLeast(1)
         if (serving.count { it.reservedFor != null } >= limit) return null
-        // A crash of the backend server with the least capacity costs the other tasks the least.
-        val row = serving.filter { health.isUsable(it, nowMs) && isSuitable(task, it) }
-            .minWithOrNull(compareBy({ !it.isIdle }, { it.tasks.size }, { it.info.capacity.cpuMillis * it.speed }))
-            ?: return null
+        return candidates(task, nowMs).minByOrNull { it.tasks.size }?.also { assign(it, task) }
+    }
+
+    /**
+     * An idle backend server for [task], which then runs alone; null if there is none. The one with the least capacity,
+     * as a crash there costs the other tasks the least.
+     */
+    private fun idleOrNull(task: TaskRow, nowMs: Long): BackendRow? =
+        candidates(task, nowMs).filter { it.isIdle }.minByOrNull { it.info.capacity.cpuMillis * it.speed }
+
+    /** As [chooseBackend], for a task that was on a silent backend server: it does not wait to run alone. */
+    fun chooseIdle(task: TaskRow, nowMs: Long): BackendRow? = idleOrNull(task, nowMs)?.also { assign(it, task) }
+
+    private fun candidates(task: TaskRow, nowMs: Long): List<BackendRow> = tables.backends.values.filter {
+        it.info.service == task.job.queue.service && health.isUsable(it, nowMs) && isSuitable(task, it)
+    }
+
+    private fun assign(row: BackendRow, task: TaskRow) {
         row.reservedFor = task
         log.event(
             "dispatch", "task-isolated", "job", task.key.job, "task", task.key, "backend", row.info.id,
-            "waitsFor", row.tasks.size, "crashes", task.history?.activeCrashes?.size,
+            "waitsFor", row.tasks.size, "possibleCrashes", task.possibleCrashes,
         )
-        return row
     }
 
     private fun isSuitable(task: TaskRow, row: BackendRow): Boolean =
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
@@ -3,18 +3,21 @@
 import kotlinx.serialization.Serializable
 
 /**
- * The end of a backend server's process while a run of a task may have been active there.
+ * The loss of a backend server while a run of a task may have been active there: a crash, unless [isRefuted].
  *
  * @property incarnation the process, see [BackendInfo.incarnation].
- * @property wasAlone whether no other run was active there and the backend server did not end together with others, so
- *   that the task is the likely cause.
- * @property isRefuted whether the process was reached again, so that it had only been cut off.
+ * @property wasAlone whether no other run was active there, so that the task is the likely cause.
+ * @property isJoint whether many backend servers were lost at the same moment, so that no task is the likely cause.
+ * @property isProven whether the process has ended as far as is known. Otherwise it is only silent.
+ * @property isRefuted whether the process was reached again.
  */
 @Serializable
 public data class BackendCrash(
     public val backend: String,
     public val incarnation: Long,
     public val wasAlone: Boolean,
+    public val isJoint: Boolean = false,
+    public val isProven: Boolean = true,
     public val isRefuted: Boolean = false,
 )
 
@@ -30,8 +33,11 @@
     public val failures: Int = 0,
     public val crashes: List<BackendCrash> = emptyList(),
 ) {
-    /** Crashes that are not refuted. */
-    public val activeCrashes: List<BackendCrash> get() = crashes.filterNot { it.isRefuted }
+    /** Losses that are not refuted, so that each may have been a crash. */
+    public val possibleCrashes: List<BackendCrash> get() = crashes.filterNot { it.isRefuted }
+
+    /** Crashes of which there is evidence. */
+    public val provenCrashes: List<BackendCrash> get() = possibleCrashes.filter { it.isProven }
 
     /**
      * Combines the knowledge of two instances. Commutative, associative and idempotent, so that the order and the
@@ -47,6 +53,8 @@
 
     private fun combine(one: BackendCrash, other: BackendCrash): BackendCrash = one.copy(
         wasAlone = one.wasAlone && other.wasAlone,
+        isJoint = one.isJoint || other.isJoint,
+        isProven = one.isProven || other.isProven,
         isRefuted = one.isRefuted || other.isRefuted,
     )
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -226,4 +226,36 @@
         sim.events.count { it.startsWith("backend ejected") } shouldBeLessThan 2
         sim.startsByTask.getValue(TaskKey(JobId("stuck"), 0, 0)) shouldBeLessThan 7
     }
+
+    /**
+     * Guards against starts without end when crashed backend servers are only silent, as in soak tests: evidence came
+     * after the next start each time, and a task crashed seven.
+     */
+    @Test
+    fun `a task waits when it may have crashed as many backend servers as are allowed`() {
+        val sim = simulation()
+        sim.isSilentWhenDown = true
+        sim.submit(sim.job("guilty", tasks = 1), timeoutMs = 60_000)
+        sim.run(untilMs = 30_000)
+        sim.startsByTask.getValue(guilty) shouldBeLessThan 4
+        sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
+    }
+
+    /** Guards against giving up or holding a task for ever since it was on three backend servers that were cut off. */
+    @Test
+    fun `a task that waits starts again when the silent backend servers are back`() {
+        val sim = simulation(backends = 6)
+        sim.workMs = { 2_000 }
+        val innocent = TaskKey(JobId("innocent"), 0, 0)
+        sim.submit(sim.job("innocent", tasks = 1, estimateMs = 2_000), timeoutMs = 60_000)
+        repeat(3) {
+            sim.run(sim.nowMs + 300)
+            sim.backends.values.first { innocent in it.running }.partitioned = true
+            sim.run(sim.nowMs + 1_500)
+        }
+        sim.startsByTask[innocent] shouldBe 3
+        sim.backends.values.forEach { it.partitioned = false }
+        sim.run(sim.nowMs + 5_000)
+        sim.results[JobId("innocent")] shouldBe JobResult.Complete
+    }
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -39,6 +39,9 @@
     /** Tasks that end the process of the backend server that starts them, with the delay after the start. */
     var crashesAfterMs: (TaskKey) -> Long? = { null }
 
+    /** Whether nothing answers at the address of a crashed backend server; otherwise connections are refused. */
+    var isSilentWhenDown = false
+
     /** Whether a restarted backend server is listed under another id. */
     var restartsUnderNewId = false
 
@@ -237,7 +240,7 @@
         after(1) {
             val backend = backends[command.backend.id]
             when {
-                backend == null || backend.partitioned ->
+                backend == null || backend.partitioned || (isSilentWhenDown && backend.isDown) ->
                     after(TIMEOUT_MS) { owner.onStartResult(command, StartResult.Unknown("timeout")) }
 
                 backend.isDown || backend.isRefusing ->
@@ -281,7 +284,7 @@
                 backend == null && "${request.backend.id}+" in backends ->
                     after(1) { owner.onPollResult(request, number, PollResult.Replaced) }
 
-                backend == null || backend.partitioned ->
+                backend == null || backend.partitioned || (isSilentWhenDown && backend.isDown) ->
                     after(TIMEOUT_MS) { owner.onPollResult(request, number, PollResult.Failed("timeout")) }
 
                 backend.isDown || backend.isRefusing ->
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/TaskHistoryTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/TaskHistoryTest.kt
@@ -19,9 +19,8 @@
     private val crashes = Arb.bind(
         Arb.element("b0", "b1", "b2"),
         Arb.long(1L..2L),
-        Arb.boolean(),
-        Arb.boolean(),
-    ) { backend, incarnation, wasAlone, isRefuted -> BackendCrash(backend, incarnation, wasAlone, isRefuted) }
+        Arb.list(Arb.boolean(), 4..4),
+    ) { backend, incarnation, flags -> BackendCrash(backend, incarnation, flags[0], flags[1], flags[2], flags[3]) }
 
     /** Histories as instances have them: with one entry for each process. */
     private val histories = Arb.bind(Arb.int(0..3), Arb.list(crashes, 0..4)) { failures, list -> failures to list }
@@ -42,8 +41,8 @@
     fun `a refuted crash stays refuted`() {
         val crash = BackendCrash("b0", 1, wasAlone = true)
         val refuted = TaskHistory(task, crashes = listOf(crash.copy(isRefuted = true)))
-        TaskHistory(task, crashes = listOf(crash)).merge(refuted).activeCrashes shouldBe emptyList()
-        refuted.merge(TaskHistory(task, crashes = listOf(crash))).activeCrashes shouldBe emptyList()
+        TaskHistory(task, crashes = listOf(crash)).merge(refuted).possibleCrashes shouldBe emptyList()
+        refuted.merge(TaskHistory(task, crashes = listOf(crash))).possibleCrashes shouldBe emptyList()
     }
 
     /** Guards against memory that grows with the number of crashed jobs, and against forgetting the open ones. */
