--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -224,6 +224,15 @@
 
     fun hasLabel(required: String?): Boolean = required == null || (isDescribed && required in info.labels)
 
+    /** The list reports another process, which has no runs yet. */
+    fun replaceInfo(listed: BackendInfo) {
+        info = listed
+        free = listed.capacity
+        largestCapacity = largestCapacity.coerceAtLeast(listed.capacity)
+        isDescribed = true
+        isDisplaced = false
+    }
+
     fun resize(capacity: Resources) {
         free += capacity - info.capacity
         info = info.copy(capacity = capacity)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -105,8 +105,7 @@
         if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
         if (!info.isSameProcess(row.info)) {
             replies.onReplaced(row, "listed with another process", nowMs)
-            row.info = info
-            row.isDisplaced = false
+            row.replaceInfo(info)
             return
         }
         if (info.draining != row.info.draining) {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CapacityTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CapacityTest.kt
@@ -104,4 +104,21 @@
         sim.backends.getValue("b0").running.size shouldBe 2
         sim.overloadMillis shouldBe 0
     }
+
+    /** Guards against the capacity of the former process when the list reports another one before a poll does. */
+    @Test
+    fun `a new process that the list reports first is used up to its own capacity`() {
+        val sim = simulation(backends = 1)
+        sim.workMs = { 2_000 }
+        val old = sim.backends.getValue("b0")
+        sim.crash("b0")
+        val smaller = old.info.copy(incarnation = 2, capacity = Resources(8 * SimulatedBackends.MILLIS, 64_000, 0))
+        sim.backends["b0"] = sim.Backend(smaller, 1.0)
+        sim.listAll()
+        sim.run(untilMs = 1_500)
+        sim.submit(sim.job("j", tasks = 2, estimateMs = 2_000), timeoutMs = 9_000, progress = notStarted)
+        sim.run(untilMs = 2_500)
+        sim.starts shouldBe 1
+        sim.overloadMillis shouldBe 0
+    }
 }
