Answer requests that outlast the grace period of a graceful stop

They now get 504, and their jobs are withdrawn, so that the callers can repeat them at another instance at once. EntryServiceTest has the check.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -115,6 +115,15 @@
         request.owner?.let { withdraw(request, it) }
     }
 
+    /** Answers all open requests, since this instance is about to end. Callers may repeat them at other instances. */
+    public fun abandonAll() {
+        for (request in pending.values.toList()) {
+            val owner = request.owner
+            finish(request, JobResult.Abandoned("this instance stops"))
+            owner?.let { withdraw(request, it) }
+        }
+    }
+
     private fun withdraw(request: PendingRequest, owner: String) =
         ownerClient.cancel(owner, PeerMessage.Cancel(request.number, request.job.id))
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -177,4 +177,14 @@
         entry.onResult(sent.last().second.number, sent.last().second.job.id, JobResult.Complete)
         results shouldContainExactly listOf(JobResult.Complete)
     }
+
+    /** Guards against a graceful stop that breaks the connections of callers which wait longer than its grace period. */
+    @Test
+    fun `an instance that ends answers its open requests and withdraws their jobs`() {
+        submit()
+        entry.abandonAll()
+        results.single().shouldBeInstanceOf<JobResult.Abandoned>()
+        entry.openRequests shouldBe 0
+        cancelled shouldContainExactly listOf("a" to sent.single().second.number)
+    }
 }
