Reset the connections to a peer that has become silent

An instance in a failure domain that is cut off sends a job to the owner outside, takes it back after 1.3 s and runs it with its own owner. Six seconds later the partition ends, the network delivers the first submission, and the owner outside starts the job; the withdrawal follows 7 ms later.

The bytes of a connection that is reset are never delivered, so an instance now resets its connections to a peer when that becomes silent, before it sends the peer's jobs elsewhere. Jobs that were on their way are resubmitted on the next connection as before. The check in PeerNetworkTest failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -237,6 +237,16 @@
             "heardMsAgo", if (peer.receivedAtMs == NEVER_MS) null else nowMs - peer.receivedAtMs,
         )
         peer.state = state
+        if (state != PeerState.ALIVE) peer.channels.toList().forEach(::reset)
+    }
+
+    /**
+     * Closes a connection to a lost peer and discards what was sent on it. Otherwise jobs that have meanwhile been sent
+     * to another owner would be delivered, and started again, when a partition ends.
+     */
+    private fun reset(channel: Channel) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        channel.close()
     }
 
     private fun needsDial(peer: Peer, nowMs: Long): Boolean {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -178,7 +178,7 @@
         results shouldContainExactly listOf(JobResult.Complete)
     }
 
-    /** Guards against a graceful stop that breaks the connections of callers which wait longer than its grace period. */
+    /** Guards against a graceful stop that breaks the connections of callers which wait longer than it may take. */
     @Test
     fun `an instance that ends answers its open requests and withdraws their jobs`() {
         submit()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -220,6 +220,29 @@
         onLoop { owner.events.toList() }.any { "life peer b" in it && "is SILENT" in it } shouldBe false
     }
 
+    /**
+     * Guards against a job that is submitted to an unreachable owner, sent elsewhere, and delivered seconds later when
+     * the partition ends: the network holds the bytes of an open connection, but not of a reset one.
+     */
+    @Test
+    fun `connections to a silent peer are reset`() {
+        val a = Peer("a", 1)
+        val b = Peer("b", 2)
+        connect(a, b)
+        onLoop {
+            clock += SILENT_FOLLOWER_MS.milliseconds
+            a.network.tick()
+        }
+        await { b.events.any { "connection-failed" in it && "reset" in it } }
+        // A new connection is opened at once.
+        await {
+            clock += PeerNetworkSettings().heartbeatIntervalMs.milliseconds
+            a.network.tick()
+            b.network.tick()
+            a.network.isAlive("b")
+        }
+    }
+
     private companion object {
         const val WAIT_S = 20L
 
