Move the loss of runs out of the processing of responses

RunLossSystem now decides when the runs on lost backend servers have ended, and DispatchReplies processes the responses of the others. No change of behaviour.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -8,20 +8,10 @@
     private val ends: JobEndSystem,
     private val health: BackendHealthSystem,
     private val crashes: CrashSystem,
+    private val losses: RunLossSystem,
     private val placement: DispatchPlacement,
     private val log: EventLog,
 ) {
-    /**
-     * Task whose backend server is no longer controlled by this instance. It is requeued when the lease of its run has
-     * ended.
-     */
-    private class Orphan(val task: TaskRow, val run: Int, var leaseEndMs: Long)
-
-    private val orphans = ArrayList<Orphan>()
-
-    /** Time at which another instance was last lost. */
-    var instanceLostAtMs = NEVER_MS
-
     fun onStartResult(command: StartCommand, result: StartResult, nowMs: Long) {
         val row = tables.backends[command.backend.id] ?: return
         val task = row.tasks[command.task]?.takeIf { it.run == command.run } ?: return
@@ -53,7 +43,7 @@
         when (reason) {
             RejectReason.FENCED -> {
                 // The new owner is responsible for the runs there.
-                requeue(task, nowMs)
+                losses.requeue(task, nowMs)
                 actions.onFenced(row.info.failureDomain)
                 return
             }
@@ -68,22 +58,14 @@
 
             RejectReason.REFUSED -> {
                 // The task did not start there, so it is not among those that may have crashed the backend server.
-                requeue(task, nowMs)
-                markRefused(row, nowMs)
+                losses.requeue(task, nowMs)
+                losses.markRefused(row, nowMs)
                 return
             }
 
             RejectReason.INVALID -> task.failedOn += row
         }
-        requeue(task, nowMs)
-    }
-
-    private fun requeue(task: TaskRow, nowMs: Long) {
-        task.backend?.release(task)
-        val job = task.job
-        if (job.ended || task.state == TaskState.DONE) return
-        placement.enqueue(task)
-        crashes.resultOrNull(task)?.let { ends.end(job, it, nowMs) }
+        losses.requeue(task, nowMs)
     }
 
     fun onPollResult(request: PollRequest, number: Long, result: PollResult, nowMs: Long) {
@@ -96,16 +78,16 @@
             PollResult.Fenced -> actions.onFenced(row.info.failureDomain)
 
             // A partition may also reject connections, so the runs count as active until their lease has expired.
-            PollResult.Refused -> markRefused(row, nowMs)
+            PollResult.Refused -> losses.markRefused(row, nowMs)
 
             PollResult.Replaced -> {
-                if (!row.isDisplaced) onReplaced(row, "another process has the address", nowMs)
+                if (!row.isDisplaced) losses.onReplaced(row, "another process has the address", nowMs)
                 row.isDisplaced = true
             }
 
             is PollResult.Failed -> {
                 row.isRefusing = false
-                markUnreachable(row, result.reason, nowMs)
+                losses.markUnreachable(row, result.reason, nowMs)
             }
         }
     }
@@ -113,7 +95,7 @@
     private fun onReport(row: BackendRow, report: PollResult.Report, nowMs: Long) {
         if (row.info.incarnation != 0L && report.incarnation != row.info.incarnation) {
             if (report.incarnation in row.formerIncarnations) return
-            onReplaced(row, "incarnation ${report.incarnation} after ${row.info.incarnation}", nowMs)
+            losses.onReplaced(row, "incarnation ${report.incarnation} after ${row.info.incarnation}", nowMs)
         }
         row.info = row.info.copy(incarnation = report.incarnation)
         if (row.lastReportAtMs == NEVER_MS || row.isUnreachable) {
@@ -152,7 +134,7 @@
                     "dispatch", "run-lost", "job", task.key.job, "task", task.key, "run", task.run,
                     "backend", row.info.id, "outcome", end.outcome,
                 )
-                requeue(task, nowMs)
+                losses.requeue(task, nowMs)
             }
         }
     }
@@ -194,7 +176,7 @@
         // If the task has failed on another backend server before, the task is the more likely cause.
         if (task.failures == 1) health.recordFailure(row, "failed runs", nowMs)
         if (task.failedOn.size >= tables.backends.size) task.failedOn.clear()
-        requeue(task, nowMs)
+        losses.requeue(task, nowMs)
     }
 
     private fun reconcileRuns(row: BackendRow, report: PollResult.Report, nowMs: Long) {
@@ -297,111 +279,15 @@
             "dispatch", "run-missing", "job", task.key.job, "task", task.key, "run", task.run,
             "backend", row.info.id, "state", task.state,
         )
-        requeue(task, nowMs)
-    }
-
-    private fun markRefused(row: BackendRow, nowMs: Long) {
-        row.isRefusing = true
-        markUnreachable(row, "connection refused", nowMs)
-        crashes.recordCrash(row, CrashEvidence.REFUSED, nowMs)
-    }
-
-    private fun logInterrupted(row: BackendRow, cause: String) {
-        for (task in row.tasks.values) {
-            log.event(
-                "dispatch", "run-interrupted", "job", task.key.job, "task", task.key, "run", task.run,
-                "backend", row.info.id, "incarnation", row.info.incarnation, "cause", cause,
-                "beside", row.tasks.size - 1, "state", task.state,
-            )
-        }
-    }
-
-    private fun markUnreachable(row: BackendRow, reason: String, nowMs: Long) {
-        if (row.isUnreachable) return
-        row.unreachableSinceMs = nowMs
-        log.event(
-            "backend", "unreachable", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size,
-            "seenMsAgo", nowMs - row.lastReportAtMs, "leaseEndsInMs", row.leaseEndMs - nowMs,
-        )
-    }
-
-    /** The backend server runs as a new process, which has none of the runs of the previous one. */
-    fun onReplaced(row: BackendRow, reason: String, nowMs: Long) {
-        log.event("backend", "replaced", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
-        logInterrupted(row, "REPLACED")
-        if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
-        crashes.recordCrash(row, CrashEvidence.REPLACED, nowMs)
-        row.lapsedTasks = emptyList()
-        row.tasks.values.toList().forEach { requeue(it, nowMs) }
-        row.unknownRuns.clear()
-        row.unclaimedCompletions.clear()
-        row.acknowledgedEnd = 0
-        row.clockOffsetMs = null
-        row.lastReportAtMs = NEVER_MS
-        row.pollInFlight = false
-        row.pollNumber++
-        row.pollSentAtMs = nowMs
-        row.free = row.info.capacity
-        row.info = row.info.copy(incarnation = 0)
-        row.isDescribed = false
-    }
-
-    /**
-     * The backend server is no longer controlled by this instance; its runs end at the latest with their lease. If
-     * [isReleased], another owner may extend the lease of runs whose jobs it does not know until it stops them.
-     */
-    fun orphan(row: BackendRow, nowMs: Long, isReleased: Boolean) {
-        val leaseEndMs = maxOf(row.leaseEndMs, nowMs) + if (isReleased || mayBeReplaced(nowMs)) extensionMs() else 0
-        for (task in row.tasks.values.toList()) {
-            row.release(task)
-            if (!task.job.ended) task.state = TaskState.UNCERTAIN
-            task.isOrphan = true
-            orphans += Orphan(task, task.run, leaseEndMs)
-        }
-    }
-
-    /** How long after the end of this owner's lease a run may be active if another owner extends the lease. */
-    private fun extensionMs(): Long = settings.unknownRunGraceMs + MAX_LEASE_MS
-
-    /**
-     * Whether this instance may be on the side of a partition that has lost its backend servers to another owner. That
-     * owner extends the leases of runs whose jobs it does not know until it stops them.
-     */
-    private fun mayBeReplaced(nowMs: Long): Boolean = nowMs - instanceLostAtMs < REPLACEMENT_MS
-
-    /** A backend server that this instance no longer controls has acknowledged [command], so the run ends soon. */
-    fun onOrphanStopped(command: StopCommand, nowMs: Long) {
-        orphans.filter { it.task.key == command.task && it.run == command.run }
-            .forEach { it.leaseEndMs = minOf(it.leaseEndMs, nowMs + STOP_MARGIN_MS) }
+        losses.requeue(task, nowMs)
     }
 
     fun runTimers(nowMs: Long) {
         for (row in tables.backends.values) {
             stopUnknownRuns(row, nowMs)
             row.unclaimedCompletions.values.removeIf { nowMs - it > settings.unclaimedCompletionMs }
-            if (row.isRefusing && nowMs - row.unreachableSinceMs >= settings.crashConfirmationMs) failJobs(row, nowMs)
-            val runsEndMs = row.leaseEndMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
-            if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > runsEndMs) {
-                log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
-                logInterrupted(row, if (row.isRefusing) "REFUSED" else "SILENT")
-                crashes.reviewLoss(row, nowMs)
-                if (!row.isRefusing) row.lapsedTasks += row.tasks.values
-                row.tasks.values.toList().forEach { requeue(it, nowMs) }
-            }
         }
-        val due = orphans.filter { it.leaseEndMs <= nowMs }
-        orphans.removeAll(due)
-        for (orphan in due) {
-            orphan.task.isOrphan = false
-            if (orphan.task.run == orphan.run && orphan.task.state == TaskState.UNCERTAIN) requeue(orphan.task, nowMs)
-        }
-    }
-
-    /** Ends the jobs whose tasks have crashed [row]; their callers need not wait for the leases to expire. */
-    private fun failJobs(row: BackendRow, nowMs: Long) {
-        if (row.tasks.isEmpty()) return
-        crashes.reviewLoss(row, nowMs)
-        crashes.jobsToFail(row).forEach { (job, result) -> ends.end(job, result, nowMs) }
+        losses.runTimers(nowMs)
     }
 
     private fun stopUnknownRuns(row: BackendRow, nowMs: Long) {
@@ -429,8 +315,5 @@
 
         /** A long task on a slow backend server may report the same percentage for seconds. */
         const val MAX_DOUBLINGS = 4
-
-        /** Longer than a lease, the detection of a silent owner and a takeover together. */
-        const val REPLACEMENT_MS = 3_000L
     }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -22,8 +22,9 @@
     private val isolation = IsolationSystem(settings, tables, health, log)
     private val crashes = CrashSystem(settings, tables, actions, log)
     private val placement = DispatchPlacement(settings, tables, actions, takeover, health, isolation, log)
+    private val losses = RunLossSystem(settings, tables, ends, crashes, placement, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
-    private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, placement, log)
+    private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
     private val polls = BackendPollSystem(settings, tables, actions)
 
     /** Milliseconds since the dispatcher was created. */
@@ -104,7 +105,7 @@
         }
         if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
         if (!info.isSameProcess(row.info)) {
-            replies.onReplaced(row, "listed with another process", nowMs)
+            losses.onReplaced(row, "listed with another process", nowMs)
             row.replaceInfo(info)
             return
         }
@@ -125,7 +126,7 @@
     private fun removeBackend(row: BackendRow, nowMs: Long, isReleased: Boolean = false) {
         tables.backends.remove(row.info.id)
         row.removed = true
-        replies.orphan(row, nowMs, isReleased)
+        losses.orphan(row, nowMs, isReleased)
     }
 
     /**
@@ -207,7 +208,7 @@
      * in case it still receives messages.
      */
     public fun onInstanceLost(instance: String): List<Triple<JobOrigin, JobId, JobProgress>> {
-        replies.instanceLostAtMs = nowMs()
+        losses.instanceLostAtMs = nowMs()
         return jobsOf(instance).map { (job, origin) ->
             val progress = progressOf(job)
             cancel(job.request.id, origin, "instance $instance is lost")
@@ -233,7 +234,7 @@
 
     /** A stop command was acknowledged by the backend server, or got no usable response. */
     public fun onStopResult(command: StopCommand, isAcknowledged: Boolean) {
-        if (isAcknowledged) replies.onOrphanStopped(command, nowMs())
+        if (isAcknowledged) losses.onOrphanStopped(command, nowMs())
     }
 
     public fun onPollResult(request: PollRequest, number: Long, result: PollResult) {
@@ -246,7 +247,6 @@
     public fun tick() {
         val nowMs = nowMs()
         replies.runTimers(nowMs)
-        crashes.waitingJobsToFail().forEach { (job, result) -> ends.end(job, result, nowMs) }
         ends.runDeadlines(nowMs)
         tables.histories.prune(nowMs) { it in tables.jobs }
         polls.run(nowMs)
