--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -64,8 +64,7 @@
 
     private fun placeTasks(job: JobRow, nowMs: Long) {
         for (task in job.allTasks()) {
-            val isHeld = task.possibleCrashes >= settings.maxCrashes
-            if (task.state != TaskState.QUEUED || nowMs < task.notBeforeMs || isHeld) continue
+            if (task.state != TaskState.QUEUED || nowMs < task.notBeforeMs || isHeld(task)) continue
             val row = when {
                 task.isSuspect -> isolation.chooseBackend(task, nowMs)
                 task.wasOnSilent -> isolation.chooseIdle(task, nowMs) ?: chooseUnlessBlocked(task, nowMs)
@@ -75,6 +74,19 @@
         }
     }
 
+    /** Whether [task] waits until it is known which of the backend servers that it was on have crashed. */
+    private fun isHeld(task: TaskRow): Boolean {
+        val isHeld = task.possibleCrashes >= settings.maxCrashes
+        if (isHeld && !task.isHeld) {
+            log.event(
+                "dispatch", "task-held", "job", task.key.job, "task", task.key,
+                "possibleCrashes", task.possibleCrashes, "crashes", task.history?.provenCrashes?.size,
+            )
+        }
+        task.isHeld = isHeld
+        return isHeld
+    }
+
     private fun chooseUnlessBlocked(task: TaskRow, nowMs: Long): BackendRow? {
         if (blockedDemand?.fitsInto(task.step.demand) == true) return null
         val row = chooseBackend(task, nowMs)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -58,6 +58,9 @@
     /** Its backend server is no longer controlled by this instance, and its run may still be active. */
     var isOrphan = false
 
+    /** Whether it waits until its [possibleCrashes] are proved or refuted. */
+    var isHeld = false
+
     /** Runs under this owner that were stopped for lack of progress. */
     var hangs = 0
 
