Let a task that was on two silent backend servers wait to run alone

After one possible crash a task still starts beside others if no backend server is idle, since silence mostly has other causes; after two it now waits for one of its own. The check in CrashingTaskTest says so.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -66,8 +66,13 @@
         for (task in job.allTasks()) {
             if (task.state != TaskState.QUEUED || nowMs < task.notBeforeMs || isHeld(task)) continue
             val row = when {
-                task.isSuspect -> isolation.chooseBackend(task, nowMs)
+                task.isSuspect || task.possibleCrashes >= settings.crashesOfCause -> isolation.chooseBackend(
+                    task,
+                    nowMs,
+                )
+
                 task.wasOnSilent -> isolation.chooseIdle(task, nowMs) ?: chooseUnlessBlocked(task, nowMs)
+
                 else -> chooseUnlessBlocked(task, nowMs)
             }
             row?.let { start(task, it, nowMs) }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -258,4 +258,24 @@
         sim.run(sim.nowMs + 5_000)
         sim.results[JobId("innocent")] shouldBe JobResult.Complete
     }
+
+    /**
+     * Guards against giving up a task that was beside the cause each time, as in the soak test with seed 226: after one
+     * silent loss it does not wait to run alone, but after two it does.
+     */
+    @Test
+    fun `a task that was on two silent backend servers waits to run alone`() {
+        val sim = simulation(backends = 2)
+        sim.workMs = { 200 }
+        val innocent = TaskKey(JobId("innocent"), 0, 0)
+        val losses = List(2) { BackendCrash("former$it", 1, wasAlone = false, isProven = false) }
+        sim.dispatcher.learn(listOf(TaskHistory(innocent, crashes = losses)))
+        repeat(2) { sim.submit(sim.job("other$it", tasks = 1, estimateMs = 200)) }
+        repeat(2) { sim.submit(sim.job("more$it", tasks = 1, cpuMillis = 12_000, estimateMs = 200)) }
+        sim.run(sim.nowMs + 20)
+        sim.submit(sim.job("innocent", tasks = 1, cpuMillis = 1_000), timeoutMs = 60_000, progress = JobProgress())
+        sim.run(sim.nowMs + 3_000)
+        sim.results[JobId("innocent")] shouldBe JobResult.Complete
+        sim.events.any { it.startsWith("dispatch task-isolated job innocent") } shouldBe true
+    }
 }
