Test that a task waits to run alone while all backend servers are busy

It now starts no earlier than it may and expects no start beside them; without the fix it fails (one start).

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -273,7 +273,11 @@
         repeat(2) { sim.submit(sim.job("other$it", tasks = 1, estimateMs = 200)) }
         repeat(2) { sim.submit(sim.job("more$it", tasks = 1, cpuMillis = 12_000, estimateMs = 200)) }
         sim.run(sim.nowMs + 20)
-        sim.submit(sim.job("innocent", tasks = 1, cpuMillis = 1_000), timeoutMs = 60_000, progress = JobProgress())
+        sim.backends.values.count { it.running.isNotEmpty() } shouldBe 2
+        val notStarted = JobProgress(ordered = emptyList())
+        sim.submit(sim.job("innocent", tasks = 1, cpuMillis = 1_000), timeoutMs = 60_000, progress = notStarted)
+        sim.run(sim.nowMs + 100)
+        sim.startsByTask[innocent] shouldBe null
         sim.run(sim.nowMs + 3_000)
         sim.results[JobId("innocent")] shouldBe JobResult.Complete
         sim.events.any { it.startsWith("dispatch task-isolated job innocent") } shouldBe true
