--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/review/Cases.class ] || exit 2
-exec timeout -k 5 110 java -cp target/review Cases late-stop review/2/record.txt
+timeout -k 5 110 java -cp target/review Cases late-stop review/2/record.txt
+status=$?
+[ "$status" -le 1 ] && exit "$status"
+exit 2
