Keep the lease of a backend server while it is not listed

Cause: a backend server that dropped out of the list left a copy of the end of its lease for each of its runs. A run that was adopted when the backend server was listed again kept the copy, and was restarted when that was due although polls had extended the lease, if the backend server dropped out a second time meanwhile.

ActiveRunTable now holds every run that may be active with the lease of its backend server, which outlives the row of the backend server, and the placement refuses a start while the table has another run of the task. Tasks of unlisted backend servers are queued at once, so a listed end completes them. Both new tests failed before the change: "a run on a backend server that drops out of the list twice is not restarted before its last lease ends" (two runs at the same time) and "a run that ends while its backend server is not listed completes its task" (6 starts instead of 4).

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendPollSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendPollSystem.kt
@@ -33,7 +33,7 @@
         // A task may start while an idle backend server is polled, so the lease covers the longer wait.
         val leaseMs = settings.leaseMs + (row.pollWaitMs - settings.pollWaitMs).coerceAtLeast(0)
         val leaseUntilMs = if (isReadOnly) null else clockMs?.plus(leaseMs)
-        if (leaseUntilMs != null) row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs, leaseMs))
+        if (leaseUntilMs != null) row.lease.endMs = maxOf(row.lease.endMs, leaseEnd(settings, nowMs, leaseMs))
         actions.poll(PollRequest(row.info, token, leaseUntilMs, row.acknowledgedEnd, row.pollWaitMs), row.pollNumber)
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -33,7 +33,9 @@
         task.state = TaskState.QUEUED
         task.stopRequestedAtMs = NEVER_MS
         val job = task.job
-        if (job.queuedTasks++ == 0) tables.waiting += job
+        job.queuedTasks++
+        if (!job.isWaiting) tables.waiting += job
+        job.isWaiting = true
         tables.waitingIsDirty = true
     }
 
@@ -47,24 +49,29 @@
             }
             pass(nowMs, late = false)
             pass(nowMs, late = true)
-            tables.waiting.removeIf { it.queuedTasks == 0 }
+            removeIdleJobs()
         }
         usable.clear()
     }
 
+    private fun removeIdleJobs() {
+        for (job in tables.waiting) job.isWaiting = job.queuedTasks > 0
+        tables.waiting.removeIf { !it.isWaiting }
+    }
+
     /** Places tasks of the jobs that can still start in time, or of those that are [late]. */
     private fun pass(nowMs: Long, late: Boolean) {
         // If no backend server has capacity for a task, larger tasks need not be tried in this pass.
         blockedDemand = null
         for (job in tables.waiting) {
             val isLate = !job.everDispatched && nowMs > job.latestStartMs
-            if (isLate == late && job.queuedTasks > 0 && takeover.mayStart(job, nowMs)) placeTasks(job, nowMs)
+            if (isLate == late && job.queuedTasks > 0 && takeover.areRunsKnown(job, nowMs)) placeTasks(job, nowMs)
         }
     }
 
     private fun placeTasks(job: JobRow, nowMs: Long) {
         for (task in job.allTasks()) {
-            if (task.state != TaskState.QUEUED || nowMs < task.notBeforeMs || isHeld(task)) continue
+            if (task.state != TaskState.QUEUED || isHeld(task) || isDelayed(task, nowMs)) continue
             val row = when {
                 task.isSuspect || task.possibleCrashes >= settings.crashesOfCause -> isolation.chooseBackend(
                     task,
@@ -79,6 +86,22 @@
         }
     }
 
+    /**
+     * Whether another run of [task] may be active. This is the only check that keeps a task from running twice, and
+     * each start passes it.
+     */
+    private fun isDelayed(task: TaskRow, nowMs: Long): Boolean {
+        val active = tables.runs.findActive(task.key, nowMs)
+        if (active != null && !task.isDelayed) {
+            log.event(
+                "dispatch", "start-delayed", "job", task.key.job, "task", task.key, "run", active.run,
+                "backend", active.lease?.backend, "confirmed", active.isConfirmed, "endsInMs", active.endMs - nowMs,
+            )
+        }
+        task.isDelayed = active != null
+        return task.isDelayed
+    }
+
     /** Whether [task] waits until it is known which of the backend servers that it was on have crashed. */
     private fun isHeld(task: TaskRow): Boolean {
         val isHeld = task.possibleCrashes >= settings.maxCrashes
@@ -133,7 +156,8 @@
         // A task that was placed earlier in this pass may have started the probe.
         val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed
         if (!isServing || !row.hasLabel(step.requiredLabel) || !step.demand.fitsInto(row.free)) return false
-        return row !in task.failedOn && isBelowLimit(task, row)
+        // A run of an earlier attempt at the job uses its capacity until its end is listed.
+        return task.key !in row.tasks && row !in task.failedOn && isBelowLimit(task, row)
     }
 
     private fun isBelowLimit(task: TaskRow, row: BackendRow): Boolean {
@@ -167,7 +191,8 @@
             )
         }
         row.reserve(task)
-        row.leaseEndMs = maxOf(row.leaseEndMs, leaseEnd(settings, nowMs, settings.leaseMs))
+        tables.runs.recordOrdered(task.key, task.run, row, task.validUntilMs)
+        row.lease.endMs = maxOf(row.lease.endMs, leaseEnd(settings, nowMs, settings.leaseMs))
         if (!job.everDispatched) {
             job.everDispatched = true
             job.firstDispatchedAtMs = nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -20,6 +20,7 @@
             is StartResult.Started -> {
                 task.state = TaskState.RUNNING
                 task.confirmedAtMs = result.clockMs
+                tables.runs.recordConfirmed(task.key, task.run, row, result.clockMs)
             }
 
             is StartResult.Rejected -> onStartRejected(row, task, result.reason, nowMs)
@@ -40,6 +41,7 @@
             "dispatch", "start-rejected", "job", task.key.job, "task", task.key, "run", task.run,
             "backend", row.info.id, "reason", reason,
         )
+        tables.runs.recordRejected(task.key, task.run, row)
         when (reason) {
             RejectReason.FENCED -> {
                 // The new owner is responsible for the runs there.
@@ -116,14 +118,16 @@
 
     private fun onRunEnd(row: BackendRow, end: RunEnd, nowMs: Long) {
         if (end.number <= row.acknowledgedEnd) return
-        row.unknownRuns.remove(end.task)
+        tables.runs.recordEnded(end.task, end.run, row)
+        // A run that was active under this owner's token is the only one.
+        if (row.unknownRuns.remove(end.task) != null) tables.runs.removeUnplaced(end.task)
         val task = row.tasks[end.task]
         if (task == null || task.run != end.run) {
             onUnknownRunEnd(row, end, nowMs)
             return
         }
         row.release(task)
-        if (task.job.ended) return
+        if (task.job.ended) return onUnknownRunEnd(row, end, nowMs)
         when (end.outcome) {
             RunOutcome.DONE -> onRunDone(row, task, nowMs)
 
@@ -139,7 +143,7 @@
         }
     }
 
-    /** A run that a previous owner started has ended. */
+    /** A run that a previous owner or an earlier attempt at the job started has ended. */
     private fun onUnknownRunEnd(row: BackendRow, end: RunEnd, nowMs: Long) {
         val task = tables.jobs[end.task.job]?.task(end.task)
         when {
@@ -148,8 +152,6 @@
                 completeTask(task, nowMs)
             }
 
-            task?.state == TaskState.QUEUED -> task.notBeforeMs = NEVER_MS
-
             end.outcome == RunOutcome.DONE -> row.unclaimedCompletions[end.task] = nowMs
         }
     }
@@ -181,8 +183,9 @@
 
     private fun reconcileRuns(row: BackendRow, report: PollResult.Report, nowMs: Long) {
         val running = report.running.associateBy { it.task }
+        tables.runs.reconcile(row, running, report.clockMs, nowMs)
         removeEndedUnknownRuns(row, running.keys, nowMs)
-        for (run in report.running) reconcileRun(row, run, nowMs)
+        for (run in report.running) reconcileRun(row, run, report.clockMs, nowMs)
         val missing = row.tasks.values.filter { it.run != running[it.key]?.run }
         missing.forEach { onRunMissing(row, it, report.clockMs, nowMs) }
     }
@@ -198,13 +201,14 @@
         }
     }
 
-    private fun reconcileRun(row: BackendRow, run: RunProgress, nowMs: Long) {
+    private fun reconcileRun(row: BackendRow, run: RunProgress, clockMs: Long, nowMs: Long) {
         val task = row.tasks[run.task]
         if (task == null || task.run != run.run) {
             val found = row.unknownRuns.getOrPut(run.task) { UnknownRun(run.run, nowMs) }
             tables.jobs[run.task.job]?.task(run.task)?.let { adopt(row, found, it, nowMs) }
             return
         }
+        tables.runs.recordReported(run.task, run.run, row, clockMs)
         if (task.state == TaskState.STARTING || task.state == TaskState.UNCERTAIN) task.state = TaskState.RUNNING
         task.missingSinceMs = NEVER_MS
         if (task.isStopRequested) {
@@ -239,11 +243,10 @@
     }
 
     private fun adopt(row: BackendRow, found: UnknownRun, task: TaskRow, nowMs: Long) {
-        // The backend server was missing from the list and is back before the lease has expired.
-        val isOwnOrphan = task.isOrphan && task.state == TaskState.UNCERTAIN && task.run == found.run
-        val isOpen = task.state == TaskState.QUEUED || task.state == TaskState.BLOCKED || isOwnOrphan
+        val isOpen = task.state == TaskState.QUEUED || task.state == TaskState.BLOCKED
         if (!isOpen || found.stopSentAtMs != NEVER_MS || found.missingSinceMs != NEVER_MS) return
-        task.isOrphan = false
+        if (task.key in row.tasks) return
+        tables.runs.removeUnplaced(task.key)
         row.unknownRuns.remove(task.key)
         if (task.state == TaskState.QUEUED) task.job.queuedTasks--
         row.reserve(task)
@@ -287,6 +290,7 @@
             stopUnknownRuns(row, nowMs)
             row.unclaimedCompletions.values.removeIf { nowMs - it > settings.unclaimedCompletionMs }
         }
+        tables.runs.prune(nowMs) { it in tables.backends }
         losses.runTimers(nowMs)
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -30,9 +30,6 @@
     /** Number of start commands that this owner has sent for the task. */
     var starts = 0
 
-    /** Earliest start. Until then, an unknown run that a previous owner started may be active. */
-    var notBeforeMs = NEVER_MS
-
     /** The run was started by a previous owner. */
     var isAdopted = false
 
@@ -55,8 +52,8 @@
     /** Backend servers where the task has failed. */
     val failedOn = ArrayList<BackendRow>(0)
 
-    /** Its backend server is no longer controlled by this instance, and its run may still be active. */
-    var isOrphan = false
+    /** Whether its start waits for the end of another run, see [ActiveRunTable]. */
+    var isDelayed = false
 
     /** Whether it waits until its [possibleCrashes] are proved or refuted. */
     var isHeld = false
@@ -104,9 +101,6 @@
     /** Latest start with which the result is still of use to the caller. */
     var lastUsefulStartMs = 0L
 
-    /** Ended job of the same name, some of whose runs may still be active. */
-    var predecessor: JobRow? = null
-
     /** Highest run number of earlier attempts at the job; runs started here get higher numbers. */
     var highestPriorRun = 0
 
@@ -123,10 +117,10 @@
     var predictedWaitMs = 0.0
     var firstDispatchedAtMs = 0L
     var queuedTasks = 0
-    var ended = false
 
-    /** Whether a run of this job may still be active. */
-    val hasRuns: Boolean get() = allTasks().any { it.backend != null || it.isOrphan }
+    /** Whether it is among [DispatchTables.waiting]. */
+    var isWaiting = false
+    var ended = false
 
     fun task(key: TaskKey): TaskRow? = tasks.getOrNull(key.step)?.getOrNull(key.index)
 
@@ -151,7 +145,7 @@
 }
 
 /** Row of the backend server table. */
-internal class BackendRow(var info: BackendInfo) {
+internal class BackendRow(var info: BackendInfo, val lease: BackendLease) {
     val tasks = LinkedHashMap<TaskKey, TaskRow>()
 
     /** Runs that belong to no job here. */
@@ -189,8 +183,6 @@
     /** Identifies the poll in flight, so that late responses of abandoned polls are ignored. */
     var pollNumber = 0L
 
-    /** Latest end of any lease granted to the backend server, on the dispatcher's clock. */
-    var leaseEndMs = NEVER_MS
     var unreachableSinceMs = NEVER_MS
 
     /** Whether another process has its address. It is back only if it is listed with another address or process. */
@@ -198,7 +190,6 @@
 
     /** Whether the last poll or start was refused: no process listens at the address, or a partition rejects it. */
     var isRefusing = false
-    var removed = false
 
     /** Task that runs, or will run, without others on the backend server. */
     var reservedFor: TaskRow? = null
@@ -249,7 +240,7 @@
     }
 
     fun release(task: TaskRow) {
-        if (tasks.remove(task.key) != null) free += task.step.demand
+        if (tasks.remove(task.key, task)) free += task.step.demand
         if (reservedFor === task) reservedFor = null
         task.backend = null
     }
@@ -276,8 +267,7 @@
     val tokens = HashMap<String, Long>()
     val ownedSinceMs = HashMap<String, Long>()
 
-    /** Ended jobs whose runs may still be active. */
-    val endingJobs = HashMap<JobId, JobRow>()
+    val runs = ActiveRunTable()
     val waitEstimator = WaitEstimator()
     val runTimes = HashMap<QueueId, RunTimeEstimator>()
     var configuration: DispatchConfiguration? = null
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -100,7 +100,7 @@
     private fun updateBackend(info: BackendInfo, nowMs: Long) {
         val row = tables.backends[info.id]
         if (row == null) {
-            tables.backends[info.id] = BackendRow(info)
+            tables.backends[info.id] = BackendRow(info, tables.runs.lease(info.id))
             return
         }
         if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
@@ -125,8 +125,7 @@
 
     private fun removeBackend(row: BackendRow, nowMs: Long, isReleased: Boolean = false) {
         tables.backends.remove(row.info.id)
-        row.removed = true
-        losses.orphan(row, nowMs, isReleased)
+        losses.onUnlisted(row, nowMs, isReleased)
     }
 
     /**
@@ -154,9 +153,7 @@
         job.origins += origin
         crashes.assignHistories(job)
         tables.jobs[request.id] = job
-        job.predecessor = tables.endingJobs[request.id]?.also {
-            job.highestPriorRun = maxOf(it.highestPriorRun, it.highestStartedRun)
-        }
+        job.highestPriorRun = job.allTasks().maxOfOrNull { tables.runs.highestRun(it.key) } ?: 0
         progress?.let { resume(job, it, nowMs) }
         replies.adoptUnknownRuns(job, nowMs)
         placement.unblock(job)
@@ -175,7 +172,7 @@
         job.highestPriorRun = maxOf(job.highestPriorRun, progress.highestRun)
         job.everDispatched = true
         job.isResumed = true
-        job.allTasks().forEach { it.notBeforeMs = takeover.notBeforeMs(it.key, progress, nowMs) }
+        takeover.recordPriorRuns(job, progress, nowMs)
         progress.done.mapNotNull(job::task).forEach {
             it.state = TaskState.DONE
             job.openTasks--
@@ -234,7 +231,7 @@
 
     /** A stop command was acknowledged by the backend server, or got no usable response. */
     public fun onStopResult(command: StopCommand, isAcknowledged: Boolean) {
-        if (isAcknowledged) losses.onOrphanStopped(command, nowMs())
+        if (isAcknowledged) tables.runs.recordStopped(command, nowMs())
     }
 
     public fun onPollResult(request: PollRequest, number: Long, result: PollResult) {
@@ -263,7 +260,6 @@
         }
         tables.jobs.clear()
         tables.waiting.clear()
-        tables.endingJobs.clear()
         tables.backends.clear()
         return moved
     }
@@ -272,8 +268,11 @@
         val nowMs = nowMs()
         return JobProgress(
             done = job.allTasks().filter { it.state == TaskState.DONE }.map { it.key }.toList(),
-            ordered = job.allTasks().filter { it.isDispatched || it.notBeforeMs > nowMs }.map { it.key }.toList(),
+            ordered = job.allTasks().filter { it.isDispatched || tables.runs.findActive(it.key, nowMs) != null }
+                .map { it.key }.toList(),
             highestRun = maxOf(job.highestPriorRun, job.highestStartedRun),
+            runsEndInMs = job.allTasks().mapNotNull { tables.runs.findActive(it.key, nowMs) }
+                .maxOfOrNull { it.endMs - nowMs } ?: 0,
             histories = job.allTasks().mapNotNull { it.history }.toList(),
         )
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/IsolationSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/IsolationSystem.kt
@@ -56,6 +56,6 @@
     }
 
     private fun isSuitable(task: TaskRow, row: BackendRow): Boolean =
-        task.step.demand.fitsInto(row.info.capacity) && row !in task.failedOn &&
+        task.step.demand.fitsInto(row.info.capacity) && row !in task.failedOn && task.key !in row.tasks &&
             row.hasLabel(task.step.requiredLabel)
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
@@ -11,11 +11,11 @@
         job.ended = true
         tables.jobs.remove(job.request.id)
         tables.waiting.remove(job)
+        job.isWaiting = false
         for (task in job.allTasks()) {
             if (task.isDispatched) stop(task, nowMs)
         }
         if (job.allTasks().any { it.isSuspect }) endReservations(job)
-        if (job.hasRuns) tables.endingJobs[job.request.id] = job
         val startedAtMs = if (job.everDispatched) job.firstDispatchedAtMs else nowMs
         log.event(
             "dispatch", "job-ended", "job", job.request.id, "queue", job.queue.id, "result", result,
@@ -43,7 +43,6 @@
     }
 
     fun runDeadlines(nowMs: Long) {
-        tables.endingJobs.values.removeIf { !it.hasRuns }
         val due = tables.jobs.values.filter { isExpired(it, nowMs) }
         for (job in due) {
             val result = if (job.everDispatched) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
@@ -36,6 +36,8 @@
  * @property ordered tasks that may be running; null if the previous owner reported none, so that any task may be.
  * @property highestRun highest run number that was used for any task.
  * @property histories what is known of tasks that have failed or may have crashed backend servers.
+ * @property runsEndInMs time in milliseconds after which no run of the job is active, unless the next owner extends its
+ *   lease.
  */
 @Serializable
 public data class JobProgress(
@@ -43,4 +45,5 @@
     public val ordered: List<TaskKey>? = null,
     public val highestRun: Int = 0,
     public val histories: List<TaskHistory> = emptyList(),
+    public val runsEndInMs: Long = 0,
 )
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -1,8 +1,8 @@
 package medlarroute.dispatch
 
 /**
- * Decides when the runs on lost backend servers have ended, and lets their tasks start again: at the end of the lease,
- * or at once if another process has replaced the backend server.
+ * Queues the tasks of lost backend servers again: at the end of their lease, or at once if the backend server is no
+ * longer listed or runs as another process. [ActiveRunTable] decides when they may start.
  */
 internal class RunLossSystem(
     private val settings: DispatchSettings,
@@ -12,14 +12,6 @@
     private val placement: DispatchPlacement,
     private val log: EventLog,
 ) {
-    /**
-     * Task whose backend server is no longer controlled by this instance. It is requeued when the lease of its run has
-     * ended.
-     */
-    private class Orphan(val task: TaskRow, val run: Int, var leaseEndMs: Long)
-
-    private val orphans = ArrayList<Orphan>()
-
     /** Time at which another instance was last lost. */
     var instanceLostAtMs = NEVER_MS
 
@@ -53,7 +45,7 @@
         row.unreachableSinceMs = nowMs
         log.event(
             "backend", "unreachable", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size,
-            "seenMsAgo", nowMs - row.lastReportAtMs, "leaseEndsInMs", row.leaseEndMs - nowMs,
+            "seenMsAgo", nowMs - row.lastReportAtMs, "leaseEndsInMs", row.lease.endMs - nowMs,
         )
     }
 
@@ -82,14 +74,12 @@
      * The backend server is no longer controlled by this instance; its runs end at the latest with their lease. If
      * [isReleased], another owner may extend the lease of runs whose jobs it does not know until it stops them.
      */
-    fun orphan(row: BackendRow, nowMs: Long, isReleased: Boolean) {
-        val leaseEndMs = maxOf(row.leaseEndMs, nowMs) + if (isReleased || mayBeReplaced(nowMs)) extensionMs() else 0
-        for (task in row.tasks.values.toList()) {
-            row.release(task)
-            if (!task.job.ended) task.state = TaskState.UNCERTAIN
-            task.isOrphan = true
-            orphans += Orphan(task, task.run, leaseEndMs)
+    fun onUnlisted(row: BackendRow, nowMs: Long, isReleased: Boolean) {
+        if (isReleased || mayBeReplaced(nowMs)) {
+            row.lease.otherOwnerEndMs = maxOf(row.lease.endMs, nowMs) + extensionMs()
         }
+        logInterrupted(row, if (isReleased) "RELEASED" else "UNLISTED")
+        row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
     /** How long after the end of this owner's lease a run may be active if another owner extends the lease. */
@@ -101,20 +91,13 @@
      */
     private fun mayBeReplaced(nowMs: Long): Boolean = nowMs - instanceLostAtMs < REPLACEMENT_MS
 
-    /** A backend server that this instance no longer controls has acknowledged [command], so the run ends soon. */
-    fun onOrphanStopped(command: StopCommand, nowMs: Long) {
-        orphans.filter { it.task.key == command.task && it.run == command.run }
-            .forEach { it.leaseEndMs = minOf(it.leaseEndMs, nowMs + STOP_MARGIN_MS) }
-    }
-
     fun runTimers(nowMs: Long) {
         for (row in tables.backends.values) {
             if (row.isRefusing && nowMs - row.unreachableSinceMs >= settings.crashConfirmationMs) failJobs(row, nowMs)
-            val runsEndMs = row.leaseEndMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
+            val runsEndMs = row.lease.endMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
             if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > runsEndMs) onLeasesLapsed(row, nowMs)
         }
         crashes.waitingJobsToFail().forEach { (job, result) -> ends.end(job, result, nowMs) }
-        endOrphans(nowMs)
     }
 
     private fun onLeasesLapsed(row: BackendRow, nowMs: Long) {
@@ -125,15 +108,6 @@
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
-    private fun endOrphans(nowMs: Long) {
-        val due = orphans.filter { it.leaseEndMs <= nowMs }
-        orphans.removeAll(due)
-        for (orphan in due) {
-            orphan.task.isOrphan = false
-            if (orphan.task.run == orphan.run && orphan.task.state == TaskState.UNCERTAIN) requeue(orphan.task, nowMs)
-        }
-    }
-
     /** Ends the jobs whose tasks have crashed [row]; their callers need not wait for the leases to expire. */
     private fun failJobs(row: BackendRow, nowMs: Long) {
         if (row.tasks.isEmpty()) return
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
@@ -14,27 +14,23 @@
     /** Failure domains whose runs are all known, with the time of the takeover for which this holds. */
     private val domainsWithKnownRuns = HashMap<String, Long>()
 
-    /**
-     * Whether a task of [job] may start.
-     *
-     * A job that no previous owner had does not wait: callers retry a job only after more than a lease has passed since
-     * its last attempt failed, so that none of its runs is active.
-     */
-    fun mayStart(job: JobRow, nowMs: Long): Boolean {
-        if (job.predecessor?.hasRuns == true) return false
-        job.predecessor = null
-        return !job.isResumed || tables.tokens.keys.all { areRunsKnown(it, nowMs) }
-    }
+    /** Whether all runs of a resumed [job] that a previous owner may have started are known. */
+    fun areRunsKnown(job: JobRow, nowMs: Long): Boolean =
+        !job.isResumed || tables.tokens.keys.all { areRunsKnown(it, nowMs) }
 
     /**
-     * Earliest start of [task] in a resumed job, given the [progress] that a previous owner reported.
+     * Records the runs that a previous owner of the resumed [job] may have started, given the [progress] that it
+     * reported.
      *
-     * A task that may already run has to wait for the lease, even if all listed backend servers have reported: after a
-     * partition, the entries of backend servers that were cut off are missing from the list for a while.
+     * Such a run may be active even if all listed backend servers have reported: after a partition, the entries of
+     * backend servers that were cut off are missing from the list for a while.
      */
-    fun notBeforeMs(task: TaskKey, progress: JobProgress, nowMs: Long): Long {
-        val mayRun = progress.ordered == null || task in progress.ordered
-        return if (mayRun) nowMs + longestRunMs() else NEVER_MS
+    fun recordPriorRuns(job: JobRow, progress: JobProgress, nowMs: Long) {
+        val untilMs = nowMs + maxOf(longestRunMs(), progress.runsEndInMs)
+        for (task in job.allTasks()) {
+            val mayRun = progress.ordered == null || task.key in progress.ordered
+            if (mayRun) tables.runs.recordUnplaced(task.key, untilMs)
+        }
     }
 
     private fun areRunsKnown(failureDomain: String, nowMs: Long): Boolean {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -132,6 +132,46 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /**
+     * Guards against a restart at the end of the lease that was known when the backend server first dropped out of the
+     * list, while its run is active under a later lease. After a partition, two lists alternated.
+     */
+    @Test
+    fun `a run on a backend server that drops out of the list twice is not restarted before its last lease ends`() {
+        val sim = simulation()
+        sim.workMs = { 3_000 }
+        sim.submit(sim.job("j", tasks = 4, estimateMs = 3_000), timeoutMs = 20_000)
+        sim.run(untilMs = 300)
+        val unlisted = sim.backends.values.first { it.running.isNotEmpty() }
+        val shortList = sim.backends.values.filter { it !== unlisted }.map { it.info }
+        for (untilMs in listOf(500L, 1_300L)) {
+            sim.dispatcher.updateBackends(shortList)
+            sim.run(untilMs)
+            sim.listAll()
+            sim.run(sim.nowMs + 400)
+        }
+        sim.dispatcher.updateBackends(shortList)
+        sim.run(untilMs = 10_000)
+        sim.concurrentRuns.shouldBeEmpty()
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
+    /** Guards against a second run of a task whose run has ended well while its backend server was not listed. */
+    @Test
+    fun `a run that ends while its backend server is not listed completes its task`() {
+        val sim = simulation()
+        sim.workMs = { 400 }
+        sim.submit(sim.job("j", tasks = 4, estimateMs = 400), timeoutMs = 20_000)
+        sim.run(untilMs = 300)
+        val unlisted = sim.backends.values.first { it.running.isNotEmpty() }
+        sim.dispatcher.updateBackends(sim.backends.values.filter { it !== unlisted }.map { it.info })
+        sim.run(untilMs = 700)
+        sim.listAll()
+        sim.run(untilMs = 3_000)
+        sim.starts shouldBe 4
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
     /**
      * Guards against a stale list, which in a soak test still named the previous process of a backend server after a
      * poll had reported the new one. The runs of the new process were abandoned.
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -6,12 +6,13 @@
 
 /**
  * Simulates backend servers with leases, fencing and capacity on a virtual clock, with a dispatcher that controls them.
+ * Further dispatchers, on other instances, may be added.
  */
 internal class SimulatedBackends(
     private val clock: TestTimeSource = TestTimeSource(),
     private val failureDomains: Set<String> = setOf("d1"),
     settings: DispatchSettings = DispatchSettings(),
-) : DispatchActions {
+) {
     /** Logged events as text. */
     val events = ArrayList<String>()
     val results = LinkedHashMap<JobId, JobResult>()
@@ -30,6 +31,9 @@
 
     /** Delay of start commands that get no response and are carried out late; null for normal ones. */
     var lateByMs: (StartCommand) -> Long? = { null }
+
+    /** The same for stop commands. */
+    var lateStopByMs: (StopCommand) -> Long? = { null }
     var starts = 0
 
     /** Number of polls by the id of the backend server. */
@@ -64,10 +68,68 @@
     var nowMs = 0L
         private set
 
-    private val log = EventLog { part, event, fields -> events += "$part $event ${fields.joinToString(" ")}" }
+    private val log = EventLog { part, event, fields ->
+        val text = "$part $event ${fields.joinToString(" ")}"
+        events += text
+        trace(text)
+    }
 
-    var dispatcher = Dispatcher(settings, clock, this, log)
-        private set
+    /** The same with the starts and ends of runs, and with the time of each in milliseconds. */
+    val trace = ArrayList<String>()
+
+    fun trace(text: String) {
+        trace += "$nowMs $text"
+    }
+
+    /** An instance with its dispatcher. */
+    inner class Owner(settings: DispatchSettings) : DispatchActions {
+        val dispatcher = Dispatcher(settings, clock, this, log)
+
+        /** The process is stopped; responses wait until it goes on. */
+        var isFrozen = false
+            set(value) {
+                field = value
+                if (!value) delayed.toList().also { delayed.clear() }.forEach { it() }
+            }
+        private val delayed = ArrayList<() -> Unit>()
+
+        fun deliver(action: () -> Unit) {
+            if (isFrozen) delayed += action else action()
+        }
+
+        override fun start(command: StartCommand) = start(this, command)
+
+        override fun stop(command: StopCommand) = stop(this, command)
+
+        override fun poll(request: PollRequest, number: Long) = poll(this, request, number)
+
+        override fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult) {
+            results[job] = result
+            resultAtMs[job] = nowMs
+        }
+
+        override fun historiesChanged(histories: List<TaskHistory>) {
+            histories.forEach { published[it.task] = published[it.task]?.merge(it) ?: it }
+        }
+
+        override fun onFenced(failureDomain: String) {
+            fenced += failureDomain
+        }
+    }
+
+    val owners = ArrayList<Owner>()
+
+    private var mainOwner = addOwner(settings)
+
+    val dispatcher: Dispatcher get() = mainOwner.dispatcher
+
+    /** Ends the process of [owner], which receives nothing any more. */
+    fun kill(owner: Owner) {
+        owner.isFrozen = true
+        owners -= owner
+    }
+
+    fun addOwner(settings: DispatchSettings = DispatchSettings()): Owner = Owner(settings).also { owners += it }
 
     class Run(val run: Int, val startedAtMs: Long, val workMs: Long, val demand: Resources) {
         var isStopping = false
@@ -132,6 +194,7 @@
             if (reason != null) return StartResult.Rejected(reason, nowMs)
             if (backends.values.any { command.task in it.running }) concurrentRuns += command.task
             starts++
+            trace("server ${info.id} starts task ${command.task} run ${command.run} token ${command.token}")
             startsByTask.merge(command.task, 1, Int::plus)
             overloadMillis = maxOf(overloadMillis, (used + demand).cpuMillis - info.capacity.cpuMillis)
             leaseUntilMs = maxOf(leaseUntilMs, command.validUntilMs)
@@ -147,6 +210,7 @@
 
         fun end(task: TaskKey, run: Run, outcome: RunOutcome) {
             if (running[task] !== run) return
+            trace("server ${info.id} ends task $task run ${run.run} $outcome")
             running.remove(task)
             ended += RunEnd(nextEnd++, task, run.run, outcome)
             waiting?.invoke()
@@ -209,7 +273,8 @@
 
     /** Replaces the dispatcher by one on another instance that knows nothing of the jobs. Backend servers run on. */
     fun replaceOwner(token: Long, settings: DispatchSettings = DispatchSettings()) {
-        dispatcher = Dispatcher(settings, clock, this, log)
+        kill(mainOwner)
+        mainOwner = addOwner(settings)
         configure(SimulatedBackends.queue())
         takeOver(token)
     }
@@ -221,22 +286,21 @@
             clock += 1.milliseconds
             while (eventQueue.isNotEmpty() && eventQueue.peek().atMs <= nowMs) eventQueue.remove().action()
             backends.values.forEach { it.expireLease() }
-            if (nowMs % TICK_MS == 0L) dispatcher.tick()
+            if (nowMs % TICK_MS == 0L) owners.filterNot { it.isFrozen }.forEach { it.dispatcher.tick() }
         }
     }
 
     fun submit(request: JobRequest, timeoutMs: Long = 3_000, progress: JobProgress? = null) =
         dispatcher.submit(request, JobOrigin("i1", request.id.value.hashCode().toLong()), timeoutMs, 0, progress)
 
-    override fun start(command: StartCommand) {
+    private fun start(owner: Owner, command: StartCommand) {
         val demand = demands.getValue(command.task.job)[command.task.step]
         val lateMs = lateByMs(command)
         if (lateMs != null) {
-            after(lateMs) { backends.getValue(command.backend.id).start(command, demand) }
-            after(TIMEOUT_MS) { dispatcher.onStartResult(command, StartResult.Unknown("timeout")) }
+            after(lateMs) { backends[command.backend.id]?.takeUnless { it.isDown }?.start(command, demand) }
+            after(TIMEOUT_MS) { owner.onStartResult(command, StartResult.Unknown("timeout")) }
             return
         }
-        val owner = dispatcher
         after(1) {
             val backend = backends[command.backend.id]
             when {
@@ -257,8 +321,26 @@
         }
     }
 
-    override fun stop(command: StopCommand) {
-        val owner = dispatcher
+    private fun Owner.onStartResult(command: StartCommand, result: StartResult) =
+        deliver { dispatcher.onStartResult(command, result) }
+
+    private fun Owner.onStopResult(command: StopCommand, isAcknowledged: Boolean) =
+        deliver { dispatcher.onStopResult(command, isAcknowledged) }
+
+    private fun Owner.onPollResult(request: PollRequest, number: Long, result: PollResult) =
+        deliver { dispatcher.onPollResult(request, number, result) }
+
+    private fun stop(owner: Owner, command: StopCommand) {
+        val lateMs = lateStopByMs(command)
+        if (lateMs != null) {
+            after(lateMs) {
+                val backend = backends[command.backend.id]
+                val run = backend?.running?.get(command.task)
+                if (run?.run == command.run) after(stopMs) { backend.end(command.task, run, RunOutcome.STOPPED) }
+            }
+            after(TIMEOUT_MS) { owner.onStopResult(command, isAcknowledged = false) }
+            return
+        }
         after(1) {
             val backend = backends[command.backend.id]
             val run = backend?.running?.get(command.task)
@@ -275,9 +357,8 @@
         }
     }
 
-    override fun poll(request: PollRequest, number: Long) {
+    private fun poll(owner: Owner, request: PollRequest, number: Long) {
         polls.merge(request.backend.id, 1, Int::plus)
-        val owner = dispatcher
         after(1) {
             val backend = backends[request.backend.id]
             when {
@@ -297,22 +378,9 @@
         }
     }
 
-    override fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult) {
-        results[job] = result
-        resultAtMs[job] = nowMs
-    }
-
     /** What the dispatchers have published, as the other instances know it. */
     val published = HashMap<TaskKey, TaskHistory>()
 
-    override fun historiesChanged(histories: List<TaskHistory>) {
-        histories.forEach { published[it.task] = published[it.task]?.merge(it) ?: it }
-    }
-
-    override fun onFenced(failureDomain: String) {
-        fenced += failureDomain
-    }
-
     private val demands = HashMap<JobId, List<Resources>>()
 
     /** A job of one step. The default estimate matches the default [workMs]. */
@@ -326,10 +394,12 @@
         return JobRequest(JobId(id), QueueId(queue), "payload", steps)
     }
 
-    fun configure(vararg queues: QueueSettings) {
+    fun configure(vararg queues: QueueSettings) = configure(mainOwner, *queues)
+
+    fun configure(owner: Owner, vararg queues: QueueSettings) {
         val limits = RequestLimits(16_384, 262_144, 15_000)
         val service = ServiceSettings(ServiceId("s"), rejectsOverload)
-        dispatcher.configure(DispatchConfiguration(1, queues.toList(), listOf(service), limits))
+        owner.dispatcher.configure(DispatchConfiguration(1, queues.toList(), listOf(service), limits))
     }
 
     companion object {
