Let a start wait for runs that backend servers report

Cause: the next owner extends the lease of a run whose job it does not know until its stops are carried out, but a new job looked only at the runs of attempts under this owner.

Every reported run is now entered in ActiveRunTable, so the one check before a start covers it.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -202,13 +202,13 @@
     }
 
     private fun reconcileRun(row: BackendRow, run: RunProgress, clockMs: Long, nowMs: Long) {
+        tables.runs.recordReported(run.task, run.run, row, clockMs)
         val task = row.tasks[run.task]
         if (task == null || task.run != run.run) {
             val found = row.unknownRuns.getOrPut(run.task) { UnknownRun(run.run, nowMs) }
             tables.jobs[run.task.job]?.task(run.task)?.let { adopt(row, found, it, nowMs) }
             return
         }
-        tables.runs.recordReported(run.task, run.run, row, clockMs)
         if (task.state == TaskState.STARTING || task.state == TaskState.UNCERTAIN) task.state = TaskState.RUNNING
         task.missingSinceMs = NEVER_MS
         if (task.isStopRequested) {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -172,6 +172,28 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /**
+     * Guards against a start beside a run that the owner reads in every report and whose lease it extends, since the
+     * job of the run was unknown when the run was to be stopped, and the stops were carried out late.
+     */
+    @Test
+    fun `a job that is handed in again waits for a run of the previous owner whose stops are late`() {
+        val sim = simulation()
+        sim.workMs = { 4_000 }
+        val request = sim.job("j", tasks = 1, estimateMs = 2_000)
+        sim.submit(request, timeoutMs = 20_000)
+        sim.run(untilMs = 300)
+        var stops = 0
+        sim.lateStopByMs = { if (++stops <= 3) 3_000 else null }
+        sim.replaceOwner(token = 2)
+        sim.run(untilMs = 1_600)
+        sim.submit(request, timeoutMs = 20_000)
+        sim.run(untilMs = 12_000)
+        sim.concurrentRuns.shouldBeEmpty()
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+        sim.events.filter { it.startsWith("dispatch start-delayed") }.shouldNotBeEmpty()
+    }
+
     /**
      * Guards against a stale list, which in a soak test still named the previous process of a backend server after a
      * poll had reported the new one. The runs of the new process were abandoned.
