Wait for leases that another owner may have granted

What callers could see: two runs of a task after an owner was replaced, or after a failure domain changed hands.

Cause: the end of a lease counted only what this owner had granted. The previous owner's poll of an idle backend server grants more than the first poll of the next owner, and runs on backend servers that are not listed when their failure domain is released are extended by the next owner, too.

Tests that failed before: "an adopted run is not restarted before the lease of the previous owner ends", "a task on an unlisted backend server waits for the next owner of its failure domain, too".

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
@@ -13,8 +13,15 @@
     private val runsByTask = HashMap<TaskKey, ArrayList<ActiveRun>>()
     private var prunedAtMs = NEVER_MS
 
-    /** The lease of the runs on the backend server [id]. It is kept while the backend server is not listed. */
-    fun lease(id: String): BackendLease = leases.getOrPut(id) { BackendLease(id) }
+    /** The lease of the runs on a backend server. It is kept while the backend server is not listed. */
+    fun lease(backend: BackendInfo): BackendLease =
+        leases.getOrPut(backend.id) { BackendLease(backend.id, backend.failureDomain) }
+
+    /** Another owner may extend the leases that [isAffected] selects by [extensionMs]. */
+    fun extendByOtherOwner(extensionMs: Long, nowMs: Long, isAffected: (BackendLease) -> Boolean) {
+        leases.values.filter { it.runs.isNotEmpty() && isAffected(it) }
+            .forEach { it.otherOwnerEndMs = maxOf(it.otherOwnerEndMs, maxOf(it.endMs, nowMs) + extensionMs) }
+    }
 
     /** A start is sent. The backend server rejects it after [validUntilMs] on its own clock. */
     fun recordOrdered(task: TaskKey, run: Int, row: BackendRow, validUntilMs: Long) {
@@ -37,6 +44,14 @@
         active.endsByMs = Long.MAX_VALUE
     }
 
+    /**
+     * The backend server lists a run that another owner has started, and whose lease that owner may have extended until
+     * [untilMs].
+     */
+    fun recordForeignLease(row: BackendRow, untilMs: Long) {
+        row.lease.otherOwnerEndMs = maxOf(row.lease.otherOwnerEndMs, untilMs)
+    }
+
     /** A run of [task] may be active on an unknown backend server until [untilMs]. */
     fun recordUnplaced(task: TaskKey, untilMs: Long) {
         val active = ActiveRun(task, run = 0, lease = null, incarnation = 0, listedFromMs = 0)
@@ -114,12 +129,13 @@
 }
 
 /** Lease of the runs on a backend server, with the runs that may be active there. */
-internal class BackendLease(val backend: String) {
+internal class BackendLease(val backend: String, val failureDomain: String) {
     /** Latest end of any lease that this owner has granted, on the dispatcher's clock. */
     var endMs = NEVER_MS
 
     /** Latest end of a lease that another owner may have granted, on the dispatcher's clock. */
     var otherOwnerEndMs = NEVER_MS
+    val latestEndMs: Long get() = maxOf(endMs, otherOwnerEndMs)
     val runs = ArrayList<ActiveRun>()
 
     fun find(task: TaskKey, run: Int): ActiveRun? = runs.find { it.run == run && it.task == task }
@@ -146,7 +162,7 @@
 
     /** Latest end on the dispatcher's clock. */
     val endMs: Long
-        get() = if (lease == null) endsByMs else minOf(endsByMs, maxOf(lease.endMs, lease.otherOwnerEndMs))
+        get() = if (lease == null) endsByMs else minOf(endsByMs, lease.latestEndMs)
 
     fun isOfOtherProcess(current: Long): Boolean = incarnation != 0L && current != 0L && incarnation != current
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -205,7 +205,10 @@
         tables.runs.recordReported(run.task, run.run, row, clockMs)
         val task = row.tasks[run.task]
         if (task == null || task.run != run.run) {
-            val found = row.unknownRuns.getOrPut(run.task) { UnknownRun(run.run, nowMs) }
+            val found = row.unknownRuns.getOrPut(run.task) {
+                tables.runs.recordForeignLease(row, nowMs + longestRunMs(settings))
+                UnknownRun(run.run, nowMs)
+            }
             tables.jobs[run.task.job]?.task(run.task)?.let { adopt(row, found, it, nowMs) }
             return
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -87,6 +87,7 @@
             removeBackend(row, nowMs, isReleased = true)
             stops.forEach(actions::stop)
         }
+        losses.onReleased(failureDomain, nowMs)
     }
 
     /** Replaces the list of backend servers of the owned failure domains. */
@@ -100,7 +101,7 @@
     private fun updateBackend(info: BackendInfo, nowMs: Long) {
         val row = tables.backends[info.id]
         if (row == null) {
-            tables.backends[info.id] = BackendRow(info, tables.runs.lease(info.id))
+            tables.backends[info.id] = BackendRow(info, tables.runs.lease(info))
             return
         }
         if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
@@ -205,7 +206,7 @@
      * in case it still receives messages.
      */
     public fun onInstanceLost(instance: String): List<Triple<JobOrigin, JobId, JobProgress>> {
-        losses.instanceLostAtMs = nowMs()
+        losses.onInstanceLost(nowMs())
         return jobsOf(instance).map { (job, origin) ->
             val progress = progressOf(job)
             cancel(job.request.id, origin, "instance $instance is lost")
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -13,7 +13,7 @@
     private val log: EventLog,
 ) {
     /** Time at which another instance was last lost. */
-    var instanceLostAtMs = NEVER_MS
+    private var instanceLostAtMs = NEVER_MS
 
     /** Lets [task] start again, unless it is given up. */
     fun requeue(task: TaskRow, nowMs: Long) {
@@ -45,7 +45,7 @@
         row.unreachableSinceMs = nowMs
         log.event(
             "backend", "unreachable", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size,
-            "seenMsAgo", nowMs - row.lastReportAtMs, "leaseEndsInMs", row.lease.endMs - nowMs,
+            "seenMsAgo", nowMs - row.lastReportAtMs, "leaseEndsInMs", row.lease.latestEndMs - nowMs,
         )
     }
 
@@ -71,17 +71,30 @@
     }
 
     /**
-     * The backend server is no longer controlled by this instance; its runs end at the latest with their lease. If
-     * [isReleased], another owner may extend the lease of runs whose jobs it does not know until it stops them.
+     * The backend server is no longer controlled by this instance; its runs end at the latest with their lease.
      */
     fun onUnlisted(row: BackendRow, nowMs: Long, isReleased: Boolean) {
-        if (isReleased || mayBeReplaced(nowMs)) {
-            row.lease.otherOwnerEndMs = maxOf(row.lease.endMs, nowMs) + extensionMs()
-        }
+        if (mayBeReplaced(nowMs)) extendByOtherOwner(nowMs) { it === row.lease }
         logInterrupted(row, if (isReleased) "RELEASED" else "UNLISTED")
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
+    /**
+     * The next owner of [failureDomain] may extend the leases of runs whose jobs it does not know until it stops them,
+     * also on backend servers that were not listed here.
+     */
+    fun onReleased(failureDomain: String, nowMs: Long) =
+        extendByOtherOwner(nowMs) { it.failureDomain == failureDomain }
+
+    /** The lost instance may have become the owner of backend servers that are not listed here. */
+    fun onInstanceLost(nowMs: Long) {
+        instanceLostAtMs = nowMs
+        extendByOtherOwner(nowMs) { it.backend !in tables.backends }
+    }
+
+    private fun extendByOtherOwner(nowMs: Long, isAffected: (BackendLease) -> Boolean) =
+        tables.runs.extendByOtherOwner(extensionMs(), nowMs, isAffected)
+
     /** How long after the end of this owner's lease a run may be active if another owner extends the lease. */
     private fun extensionMs(): Long = settings.unknownRunGraceMs + MAX_LEASE_MS
 
@@ -94,7 +107,7 @@
     fun runTimers(nowMs: Long) {
         for (row in tables.backends.values) {
             if (row.isRefusing && nowMs - row.unreachableSinceMs >= settings.crashConfirmationMs) failJobs(row, nowMs)
-            val runsEndMs = row.lease.endMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
+            val runsEndMs = row.lease.latestEndMs + if (mayBeReplaced(nowMs)) extensionMs() else 0
             if (row.isUnreachable && row.tasks.isNotEmpty() && nowMs > runsEndMs) onLeasesLapsed(row, nowMs)
         }
         crashes.waitingJobsToFail().forEach { (job, result) -> ends.end(job, result, nowMs) }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
@@ -26,7 +26,7 @@
      * backend servers that were cut off are missing from the list for a while.
      */
     fun recordPriorRuns(job: JobRow, progress: JobProgress, nowMs: Long) {
-        val untilMs = nowMs + maxOf(longestRunMs(), progress.runsEndInMs)
+        val untilMs = nowMs + maxOf(longestRunMs(settings), progress.runsEndInMs)
         for (task in job.allTasks()) {
             val mayRun = progress.ordered == null || task.key in progress.ordered
             if (mayRun) tables.runs.recordUnplaced(task.key, untilMs)
@@ -38,12 +38,10 @@
         if (domainsWithKnownRuns[failureDomain] == sinceMs) return true
         val rows = tables.backendsIn(failureDomain)
         val allReported = rows.isNotEmpty() && rows.all { it.lastReportAtMs != NEVER_MS }
-        val areRunsKnown = allReported || nowMs - sinceMs >= longestRunMs()
+        val areRunsKnown = allReported || nowMs - sinceMs >= longestRunMs(settings)
         if (areRunsKnown) domainsWithKnownRuns[failureDomain] = sinceMs
         return areRunsKnown
     }
-
-    private fun longestRunMs(): Long = (MAX_LEASE_MS * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
 }
 
 /** Longest lease that a backend server grants, on its own clock; defined by the platform. */
@@ -51,3 +49,7 @@
 
 /** Time that a backend server may take to stop a run once its lease has expired or it has acknowledged a stop. */
 internal const val STOP_MARGIN_MS = 80L
+
+/** How long a run may go on after the last poll that extended its lease, in milliseconds. */
+internal fun longestRunMs(settings: DispatchSettings): Long =
+    (MAX_LEASE_MS * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -194,6 +194,30 @@
         sim.events.filter { it.startsWith("dispatch start-delayed") }.shouldNotBeEmpty()
     }
 
+    /**
+     * Guards against a restart at the end of this owner's lease, which is shorter than the one that the previous owner
+     * gave to an idle backend server just before the run started there.
+     */
+    @Test
+    fun `an adopted run is not restarted before the lease of the previous owner ends`() {
+        val sim = simulation(backends = 2)
+        sim.workMs = { 5_000 }
+        val request = sim.job("j", tasks = 2, cpuMillis = 12_000, estimateMs = 3_000)
+        sim.submit(request, timeoutMs = 20_000)
+        sim.run(untilMs = 300)
+        sim.replaceOwner(token = 2)
+        val cut = sim.backends.getValue("b0")
+        cut.leaseUntilMs = sim.nowMs + 990
+        sim.submit(request, timeoutMs = 20_000, progress = JobProgress())
+        sim.run(untilMs = 330)
+        cut.partitioned = true
+        sim.add("free")
+        sim.dispatcher.updateBackends(sim.backends.values.filter { it !== cut }.map { it.info })
+        sim.run(untilMs = 20_000)
+        sim.concurrentRuns.shouldBeEmpty()
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
     /**
      * Guards against a stale list, which in a soak test still named the previous process of a backend server after a
      * poll had reported the new one. The runs of the new process were abandoned.
@@ -359,6 +383,31 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /**
+     * Guards against a second run beside one on a backend server that was not listed when its failure domain was
+     * released: the next owner lists it, extends its lease and stops the run only after a grace period.
+     */
+    @Test
+    fun `a task on an unlisted backend server waits for the next owner of its failure domain, too`() {
+        val sim = jobInTwoDomains()
+        val released = sim.backends.values.filter { it.info.failureDomain == "d2" }
+        sim.dispatcher.updateBackends(sim.backends.values.filter { it !in released }.map { it.info })
+        sim.run(untilMs = 700)
+        sim.dispatcher.release("d2")
+        released.forEach {
+            it.token = 2
+            it.leaseUntilMs = sim.nowMs + 1_100
+        }
+        sim.after(1_000) {
+            released.forEach { backend ->
+                backend.running.toList().forEach { (task, run) -> backend.end(task, run, RunOutcome.STOPPED) }
+            }
+        }
+        sim.run(untilMs = 15_000)
+        sim.concurrentRuns.shouldBeEmpty()
+        sim.results[JobId("j")] shouldBe JobResult.Complete
+    }
+
     /** Guards against waiting for the lease of runs that were stopped when their failure domain was released. */
     @Test
     fun `tasks in a released failure domain start again as soon as their runs are stopped`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -208,6 +208,11 @@
             return StartResult.Started(nowMs)
         }
 
+        /** Starts of the stopped run and of earlier ones are rejected from now on. */
+        fun reject(stop: StopCommand) {
+            highestRuns.merge(stop.task, stop.run, ::maxOf)
+        }
+
         fun end(task: TaskKey, run: Run, outcome: RunOutcome) {
             if (running[task] !== run) return
             trace("server ${info.id} ends task $task run ${run.run} $outcome")
@@ -336,6 +341,7 @@
             after(lateMs) {
                 val backend = backends[command.backend.id]
                 val run = backend?.running?.get(command.task)
+                backend?.reject(command)
                 if (run?.run == command.run) after(stopMs) { backend.end(command.task, run, RunOutcome.STOPPED) }
             }
             after(TIMEOUT_MS) { owner.onStopResult(command, isAcknowledged = false) }
@@ -348,6 +354,7 @@
             if (backend == null || isUnreachable || command.token < backend.token) {
                 owner.onStopResult(command, isAcknowledged = false)
             } else {
+                backend.reject(command)
                 if (run?.run == command.run) {
                     run.isStopping = true
                     after(stopMs) { backend.end(command.task, run, RunOutcome.STOPPED) }
