Start nothing on messages from before a pause

What callers could see: an instance that wakes after a pause starts the tasks of a job that its instance has long handed in elsewhere, and stops them when it reads the withdrawal behind it; the two runs collide if the other owner has another failure domain.

After a gap of more than 300 ms between ticks, tasks start with the next tick, when the messages that arrived during the pause have been read. "a job that was withdrawn during a pause is not started after it" failed before (2 starts).

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -26,6 +26,7 @@
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
     private val polls = BackendPollSystem(settings, tables, actions)
+    private var tickedAtMs = 0L
 
     /** Milliseconds since the dispatcher was created. */
     public fun nowMs(): Long = elapsed.nowMs()
@@ -161,7 +162,7 @@
         val failure = job.allTasks().filter { it.state != TaskState.DONE }.firstNotNullOfOrNull(crashes::resultOrNull)
         if (failure != null) ends.end(job, failure, nowMs)
         if (job.openTasks == 0) ends.end(job, JobResult.Complete, nowMs)
-        placement.run(nowMs)
+        place(nowMs)
     }
 
     private fun JobRow.join(origin: JobOrigin) {
@@ -191,7 +192,7 @@
         if (row.origins.isNotEmpty()) return
         log.event("dispatch", "job-cancelled", "job", job, "reason", reason, "ordered", row.everDispatched)
         ends.end(row, JobResult.Cancelled, nowMs())
-        placement.run(nowMs())
+        place(nowMs())
     }
 
     /** Cancels the job for all instances that wait for it. Returns false if the job is not open here. */
@@ -227,7 +228,7 @@
 
     public fun onStartResult(command: StartCommand, result: StartResult) {
         replies.onStartResult(command, result, nowMs())
-        placement.run(nowMs())
+        place(nowMs())
     }
 
     /** A stop command was acknowledged by the backend server, or got no usable response. */
@@ -238,12 +239,21 @@
     public fun onPollResult(request: PollRequest, number: Long, result: PollResult) {
         replies.onPollResult(request, number, result, nowMs())
         polls.run(nowMs())
-        placement.run(nowMs())
+        place(nowMs())
+    }
+
+    /**
+     * Starts tasks, unless the process has just been paused: a message that was received before the pause may have been
+     * revoked by one that is still unread. The next tick starts what is left.
+     */
+    private fun place(nowMs: Long) {
+        if (nowMs - tickedAtMs <= PAUSE_MS) placement.run(nowMs)
     }
 
     /** Runs all timers; called every few milliseconds. */
     public fun tick() {
         val nowMs = nowMs()
+        tickedAtMs = nowMs
         replies.runTimers(nowMs)
         ends.runDeadlines(nowMs)
         tables.histories.prune(nowMs) { it in tables.jobs }
@@ -291,5 +301,8 @@
 
     private companion object {
         const val FULL_PERCENT = 100
+
+        /** Many ticks; a loaded instance is rarely later. */
+        const val PAUSE_MS = 300L
     }
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/DispatcherTest.kt
@@ -218,6 +218,24 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /** Guards against starting tasks of a job whose withdrawal has also arrived while the process was paused. */
+    @Test
+    fun `a job that was withdrawn during a pause is not started after it`() {
+        val sim = simulation()
+        val owner = sim.owners.single()
+        val request = sim.job("j", tasks = 2)
+        owner.isFrozen = true
+        owner.deliver { owner.dispatcher.submit(request, JobOrigin("i1", 1), timeoutMs = 3_000) }
+        owner.deliver { owner.dispatcher.onInstanceLost("i1") }
+        sim.run(untilMs = 1_500)
+        owner.isFrozen = false
+        sim.run(untilMs = 2_000)
+        sim.starts shouldBe 0
+        sim.submit(sim.job("next", tasks = 2))
+        sim.run(untilMs = 2_200)
+        sim.results[JobId("next")] shouldBe JobResult.Complete
+    }
+
     /**
      * Guards against a stale list, which in a soak test still named the previous process of a backend server after a
      * poll had reported the new one. The runs of the new process were abandoned.
