Tell the other owners of runs that remain

What callers could see: with an owner a failure domain, a job that its client hands in again at another owner starts beside a run of its first attempt whose stops are late.

Cause: only the owner of a backend server reads its reports. It now tells the other owners of runs whose job is unknown to it or has ended, and they enter them in their tables of active runs. A job of which an earlier attempt may run is refused as Abandoned instead of "not run", which was untrue and would have sent it to another owner.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
@@ -54,9 +54,9 @@
 
     /** A run of [task] may be active on an unknown backend server until [untilMs]. */
     fun recordUnplaced(task: TaskKey, untilMs: Long) {
-        val active = ActiveRun(task, run = 0, lease = null, incarnation = 0, listedFromMs = 0)
-        active.endsByMs = untilMs
-        add(active)
+        val known = runsByTask[task]?.find { it.lease == null }
+        val active = known ?: ActiveRun(task, run = 0, lease = null, incarnation = 0, listedFromMs = 0).also(::add)
+        active.endsByMs = if (known == null) untilMs else maxOf(known.endsByMs, untilMs)
     }
 
     /** A run of [task] that a previous owner started was found, so there is none on another backend server. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
@@ -15,6 +15,12 @@
     /** This instance has learned more about tasks, which the next owner of their jobs has to know. */
     public fun historiesChanged(histories: List<TaskHistory>)
 
+    /**
+     * Runs of [tasks] go on although their jobs are unknown here or have ended, and are being stopped. The other owners
+     * must not start these tasks.
+     */
+    public fun runsRemain(tasks: List<TaskKey>)
+
     /** A backend server has rejected a command or a poll since it has received a higher token of another owner. */
     public fun onFenced(failureDomain: String)
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -215,7 +215,10 @@
         if (task.state == TaskState.STARTING || task.state == TaskState.UNCERTAIN) task.state = TaskState.RUNNING
         task.missingSinceMs = NEVER_MS
         if (task.isStopRequested) {
-            if (nowMs - task.stopRequestedAtMs > STOP_RETRY_MS) ends.stop(task, nowMs)
+            if (nowMs - task.stopRequestedAtMs > STOP_RETRY_MS) {
+                ends.stop(task, nowMs)
+                if (task.job.ended) actions.runsRemain(listOf(task.key))
+            }
         } else if (run.donePercent != task.donePercent) {
             task.donePercent = run.donePercent
             task.progressAtMs = nowMs
@@ -289,14 +292,28 @@
     }
 
     fun runTimers(nowMs: Long) {
+        val remaining = ArrayList<TaskKey>(0)
         for (row in tables.backends.values) {
             stopUnknownRuns(row, nowMs)
+            remaining += runsToReport(row, nowMs)
             row.unclaimedCompletions.values.removeIf { nowMs - it > settings.unclaimedCompletionMs }
         }
+        if (remaining.isNotEmpty()) actions.runsRemain(remaining)
         tables.runs.prune(nowMs) { it in tables.backends }
         losses.runTimers(nowMs)
     }
 
+    /** Unknown runs of which the other owners have to be told, since no instance has submitted their jobs here. */
+    private fun runsToReport(row: BackendRow, nowMs: Long): List<TaskKey> {
+        if (row.unknownRuns.isEmpty()) return emptyList()
+        val due = row.unknownRuns.filter { (task, run) ->
+            tables.jobs[task.job] == null && nowMs - run.firstReportedMs >= RESUBMISSION_MS &&
+                nowMs - run.announcedAtMs >= STOP_RETRY_MS
+        }
+        due.values.forEach { it.announcedAtMs = nowMs }
+        return due.keys.toList()
+    }
+
     private fun stopUnknownRuns(row: BackendRow, nowMs: Long) {
         val token = tables.token(row) ?: return
         for ((task, run) in row.unknownRuns) {
@@ -320,6 +337,9 @@
         const val NO_CAPACITY_PAUSE_MS = 30L
         const val STOP_RETRY_MS = 500L
 
+        /** After a takeover, instances submit their open jobs within this time. */
+        const val RESUBMISSION_MS = 100L
+
         /** A long task on a slow backend server may report the same percentage for seconds. */
         const val MAX_DOUBLINGS = 4
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -252,6 +252,9 @@
 internal class UnknownRun(val run: Int, val firstReportedMs: Long, var stopSentAtMs: Long = NEVER_MS) {
     /** Time of the first report that lists neither the run nor its end. */
     var missingSinceMs = NEVER_MS
+
+    /** Time at which the other owners were told of it. */
+    var announcedAtMs = NEVER_MS
 }
 
 /** All state of the dispatcher. Confined to one thread. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -54,6 +54,17 @@
         tables.histories.prune(nowMs) { it in tables.jobs }
     }
 
+    /** Tasks of which a run goes on here although its job is unknown or has ended; see [DispatchActions.runsRemain]. */
+    public fun remainingRuns(): List<TaskKey> = tables.backends.values.flatMap { row ->
+        row.unknownRuns.keys.filter { tables.jobs[it.job] == null } + row.tasks.filterValues { it.job.ended }.keys
+    }
+
+    /** Another owner reports that runs of [tasks] may go on at its backend servers. */
+    public fun learnActiveRuns(tasks: List<TaskKey>) {
+        val nowMs = nowMs()
+        tasks.forEach { tables.runs.recordUnplaced(it, nowMs + longestRunMs(settings)) }
+    }
+
     /** Number of admitted jobs of [queue] of which no task was started yet. */
     public fun waitingJobs(queue: QueueId): Int =
         tables.jobs.values.count { it.queue.id == queue && !it.everDispatched }
@@ -149,7 +160,7 @@
         progress?.let { crashes.mergeAll(it.histories, nowMs) }
         val decision = admission.decide(request, nowMs - waitedMs, nowMs + timeoutMs, progress, nowMs)
         val job = when (decision) {
-            is AdmissionDecision.Refused -> return actions.jobEnded(origin, request.id, decision.result)
+            is AdmissionDecision.Refused -> return refuse(request, origin, decision.result, nowMs)
             is AdmissionDecision.Admitted -> decision.job
         }
         job.origins += origin
@@ -165,6 +176,13 @@
         place(nowMs)
     }
 
+    /** A job of which an earlier attempt has runs is not refused as "not run", and so is sent to no other owner. */
+    private fun refuse(request: JobRequest, origin: JobOrigin, refusal: JobResult.NotRun, nowMs: Long) {
+        val hasRun = request.tasks().any { tables.runs.findActive(it, nowMs) != null }
+        val result = if (hasRun) JobResult.Abandoned("an earlier attempt may run: ${refusal.reason}") else refusal
+        actions.jobEnded(origin, request.id, result)
+    }
+
     private fun JobRow.join(origin: JobOrigin) {
         origins += origin
         log.event("dispatch", "job-joined", "job", request.id, "origin", origin.instance)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -35,6 +35,9 @@
     private val results = RecentResults(clock)
     private val lostInstances = HashSet<String>()
 
+    /** The other owners that have been told of the runs that remain here. */
+    private var informedOwners: Set<String> = emptySet()
+
     /** Peers that don't reach the store and have received the members from this instance. */
     private val withoutStore = HashSet<String>()
     private var backends: List<BackendInfo> = emptyList()
@@ -149,9 +152,24 @@
                 }
             }
         }
+        if (dispatcher.ownedDomains.isNotEmpty()) informNewOwners(otherOwners(peers))
         entry.tick()
     }
 
+    private fun informNewOwners(others: Set<String>) {
+        val remaining = if (others.all { it in informedOwners }) emptyList() else dispatcher.remainingRuns()
+        if (remaining.isNotEmpty()) sendActiveRuns(others - informedOwners, remaining)
+        informedOwners = others
+    }
+
+    private fun otherOwners(peers: List<PeerView>): Set<String> =
+        peers.filter { it.state == PeerState.ALIVE && it.owned.isNotEmpty() }.mapTo(HashSet()) { it.member.instance }
+
+    private fun sendActiveRuns(owners: Set<String>, tasks: List<TaskKey>) {
+        log.event("dispatch", "runs-remain", "tasks", tasks.size, "first", tasks.first(), "owners", owners.size)
+        owners.forEach { network.send(it, PeerMessage.ActiveRuns(tasks)) }
+    }
+
     /**
      * Owners watch the list of backend servers, and so do instances that are about to claim a failure domain, since a
      * new owner refuses all jobs until it knows the list.
@@ -274,6 +292,8 @@
         override fun historiesChanged(histories: List<TaskHistory>) =
             network.broadcast(PeerMessage.Histories(histories))
 
+        override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(otherOwners(network.views()), tasks)
+
         override fun onFenced(failureDomain: String) = ownership.onFenced(failureDomain)
     }
 
@@ -365,6 +385,8 @@
 
                 is PeerMessage.Histories -> dispatcher.learn(message.histories)
 
+                is PeerMessage.ActiveRuns -> dispatcher.learnActiveRuns(message.tasks)
+
                 is PeerMessage.Members ->
                     message.members.filter { it.instance != self.instance }.forEach(network::addMember)
             }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobRequest.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobRequest.kt
@@ -29,4 +29,8 @@
     public val queue: QueueId,
     public val payload: String,
     public val steps: List<StepRequest>,
-)
+) {
+    internal fun tasks(): Sequence<TaskKey> = steps.asSequence().flatMapIndexed { number, step ->
+        (0 until step.taskCount).asSequence().map { TaskKey(id, number, it) }
+    }
+}
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -98,6 +98,11 @@
     @SerialName("histories")
     public data class Histories(val histories: List<TaskHistory>) : PeerMessage
 
+    /** Tasks of which a run goes on at the sender's backend servers, although its job is unknown or has ended. */
+    @Serializable
+    @SerialName("active")
+    public data class ActiveRuns(val tasks: List<TaskKey>) : PeerMessage
+
     /** All instances that the sender knows. */
     @Serializable
     @SerialName("members")
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -112,6 +112,10 @@
             histories.forEach { published[it.task] = published[it.task]?.merge(it) ?: it }
         }
 
+        override fun runsRemain(tasks: List<TaskKey>) = after(2) {
+            (owners - this).forEach { other -> other.deliver { other.dispatcher.learnActiveRuns(tasks) } }
+        }
+
         override fun onFenced(failureDomain: String) {
             fenced += failureDomain
         }
