Order the lists of backend servers by the store's version

Cause: an owner took the list of a peer whenever its own last call to the store had failed, and its own list at the next change, by turns. Which of the two was newer was never asked, and only the store's list retained entries that had expired, not a list that a peer had sent.

Lists now carry the version of the store at which they were read, also between instances.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -40,7 +40,7 @@
 
     /** Peers that don't reach the store and have received the members from this instance. */
     private val withoutStore = HashSet<String>()
-    private var backends: List<BackendInfo> = emptyList()
+    private val listing = BackendListing(clock)
     private var leaving = false
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
@@ -152,6 +152,7 @@
                 }
             }
         }
+        if (listing.removeExpired()) applyListing()
         if (dispatcher.ownedDomains.isNotEmpty()) informNewOwners(otherOwners(peers))
         entry.tick()
     }
@@ -178,15 +179,27 @@
         dispatcher.ownedDomains.isNotEmpty() || ownership.isClaiming ||
             (store.isReachable && watchesBackendsForOthers(self, peers, network::heartbeatOf))
 
-    private fun onBackends(listed: List<BackendInfo>) {
-        val changed = listed != backends
-        backends = listed
-        if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.updateBackends(listed)
-        if (changed) sendBackends()
+    private fun onBackends(list: BackendList) {
+        val before = listing.backends
+        if (takeList(list, "store") && listing.backends != before) sendBackends()
+    }
+
+    private fun takeList(list: BackendList, source: String): Boolean {
+        val isTaken = listing.update(list)
+        if (isTaken) {
+            applyListing()
+        } else {
+            log.event("backend", "list-ignored", "version", list.version, "known", listing.version, "from", source)
+        }
+        return isTaken
+    }
+
+    private fun applyListing() {
+        if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.updateBackends(listing.backends)
     }
 
     private fun sendBackends() {
-        val message = PeerMessage.Backends(backends)
+        val message = PeerMessage.Backends(listing.backends, listing.version)
         backendRecipients(self, network.views(), ownership.isPerDomain).forEach { network.send(it, message) }
     }
 
@@ -234,7 +247,7 @@
     private inner class OwnershipChanges : OwnershipListener {
         override fun onAcquired(failureDomain: String, token: Long) {
             dispatcher.acquire(failureDomain, token)
-            dispatcher.updateBackends(backends)
+            dispatcher.updateBackends(listing.backends)
             network.sendHeartbeatNow()
             dispatcher.tick()
             scheduleDispatch()
@@ -381,7 +394,7 @@
 
                 is PeerMessage.Configuration -> onConfiguration(message.configuration)
 
-                is PeerMessage.Backends -> onPeerBackends(message.backends)
+                is PeerMessage.Backends -> takeList(BackendList(message.version, message.backends), peer.instance)
 
                 is PeerMessage.Histories -> dispatcher.learn(message.histories)
 
@@ -405,15 +418,11 @@
             }
         }
 
-        private fun onPeerBackends(listed: List<BackendInfo>) {
-            if (store.isReachable && dispatcher.ownedDomains.isNotEmpty()) return
-            backends = listed
-            if (dispatcher.ownedDomains.isNotEmpty()) dispatcher.updateBackends(listed)
-        }
-
         override fun onConnected(peer: PeerMember) {
             withoutStore -= peer.instance
-            if (dispatcher.ownedDomains.isNotEmpty()) network.send(peer.instance, PeerMessage.Backends(backends))
+            if (dispatcher.ownedDomains.isNotEmpty()) {
+                network.send(peer.instance, PeerMessage.Backends(listing.backends, listing.version))
+            }
             val suspects = dispatcher.histories.filter { it.crashes.isNotEmpty() }
             if (suspects.isNotEmpty()) network.send(peer.instance, PeerMessage.Histories(suspects))
             network.send(peer.instance, PeerMessage.OpenRequests(entry.openRequestsAt(peer.instance)))
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
@@ -83,7 +83,7 @@
     public fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit)
 
     /** Starts or stops watching the list of backend servers. */
-    public fun watchBackends(enabled: Boolean, onBackends: (List<BackendInfo>) -> Unit)
+    public fun watchBackends(enabled: Boolean, onBackends: (BackendList) -> Unit)
 
     /** Whether the store currently responds to this instance. */
     public val isReachable: Boolean
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -88,10 +88,10 @@
     @SerialName("configuration")
     public data class Configuration(val configuration: DispatchConfiguration) : PeerMessage
 
-    /** The sender's list of backend servers. */
+    /** The sender's list of backend servers, as of [version] of the store. */
     @Serializable
     @SerialName("backends")
-    public data class Backends(val backends: List<BackendInfo>) : PeerMessage
+    public data class Backends(val backends: List<BackendInfo>, val version: Long = 0) : PeerMessage
 
     /** What the sender knows of tasks that may have crashed backend servers. */
     @Serializable
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -44,7 +44,7 @@
 
             override fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit) = Unit
 
-            override fun watchBackends(enabled: Boolean, onBackends: (List<BackendInfo>) -> Unit) = Unit
+            override fun watchBackends(enabled: Boolean, onBackends: (BackendList) -> Unit) = Unit
         }
         val ownership =
             Ownership(member, listOf("d1", "d2"), OwnershipSettings(tokenSuffix = number), clock, store, this) {
