Keep acknowledged cancellations and tell all instances

Cause: the acknowledgement followed one message to one instance, and nothing kept the cancellation. The instance that acknowledges it now keeps it for 30 s and tells all instances that it is connected to, and each instance that connects later. Those answer the requests for the job, cancel it, stop its runs at once, and answer later copies with "cancelled". Cancel no longer has a variant for everyone, and a DELETE is always acknowledged, since the promise holds for any job.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -317,8 +317,8 @@
     private fun stopUnknownRuns(row: BackendRow, nowMs: Long) {
         val token = tables.token(row) ?: return
         for ((task, run) in row.unknownRuns) {
-            val isInGracePeriod =
-                tables.jobs[task.job] == null && nowMs - run.firstReportedMs < settings.unknownRunGraceMs
+            val mayBeResubmitted = tables.jobs[task.job] == null && task.job !in tables.cancelledJobs
+            val isInGracePeriod = mayBeResubmitted && nowMs - run.firstReportedMs < settings.unknownRunGraceMs
             if (isInGracePeriod || nowMs - run.stopSentAtMs < STOP_RETRY_MS) continue
             run.stopSentAtMs = nowMs
             actions.stop(StopCommand(row.info, task, run.run, token))
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -271,6 +271,7 @@
     val ownedSinceMs = HashMap<String, Long>()
 
     val runs = ActiveRunTable()
+    val cancelledJobs = CancelledJobs()
     val waitEstimator = WaitEstimator()
     val runTimes = HashMap<QueueId, RunTimeEstimator>()
     var configuration: DispatchConfiguration? = null
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -156,6 +156,7 @@
         progress: JobProgress? = null,
     ) {
         val nowMs = nowMs()
+        if (request.id in tables.cancelledJobs) return actions.jobEnded(origin, request.id, JobResult.Cancelled)
         tables.jobs[request.id]?.let { return it.join(origin) }
         progress?.let { crashes.mergeAll(it.histories, nowMs) }
         val decision = admission.decide(request, nowMs - waitedMs, nowMs + timeoutMs, progress, nowMs)
@@ -213,13 +214,23 @@
         place(nowMs())
     }
 
-    /** Cancels the job for all instances that wait for it. Returns false if the job is not open here. */
+    /**
+     * Cancels the job for all instances that wait for it, now or later. Returns false if the cancellation was known
+     * already.
+     */
     public fun cancelForAll(job: JobId): Boolean {
-        val row = tables.jobs[job] ?: return false
-        ends.end(row, JobResult.Cancelled, nowMs())
-        return true
+        val nowMs = nowMs()
+        val isNew = tables.cancelledJobs.add(job, nowMs)
+        tables.jobs[job]?.let { ends.end(it, JobResult.Cancelled, nowMs) }
+        return isNew
     }
 
+    /** Whether [job] was cancelled for all instances within the last half minute. */
+    public fun isCancelled(job: JobId): Boolean = job in tables.cancelledJobs
+
+    /** Jobs that were cancelled for all instances within the last half minute. */
+    public fun cancelledJobs(): List<JobId> = tables.cancelledJobs.all(nowMs())
+
     /**
      * Withdraws the jobs of an instance that is unreachable. Returns the progress of each, to be sent to the instance
      * in case it still receives messages.
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -115,6 +115,15 @@
         request.owner?.let { withdraw(request, it) }
     }
 
+    /** Answers the requests for [job], which was cancelled for all callers. */
+    internal fun cancelAll(job: JobId) {
+        for (request in pending.values.filter { it.job.id == job }) {
+            val owner = request.owner
+            finish(request, JobResult.Cancelled)
+            owner?.let { withdraw(request, it) }
+        }
+    }
+
     /** Answers all open requests, since this instance is about to end. Callers may repeat them at other instances. */
     public fun abandonAll() {
         for (request in pending.values.toList()) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -207,13 +207,19 @@
     public fun waitingJobs(queue: QueueId): Int = dispatcher.waitingJobs(queue)
 
     /**
-     * Cancels [job] for all callers. Returns whether it was open here or the cancellation was forwarded to the owner.
+     * Cancels [job] for all callers, also if it is not known here or a copy of its request arrives later. All instances
+     * are told; one that can't be reached now is told when it connects.
      */
-    public fun cancel(job: JobId): Boolean {
-        if (dispatcher.cancelForAll(job)) return true
-        val owner = ownerClient.ownerOrNull() ?: return false
-        if (owner != self.instance) network.send(owner, PeerMessage.Cancel(0, job, everyone = true))
-        return owner != self.instance
+    public fun cancel(job: JobId) {
+        onCancelled(listOf(job), self.instance)
+        network.broadcast(PeerMessage.Cancelled(listOf(job)))
+    }
+
+    private fun onCancelled(jobs: List<JobId>, source: String) {
+        for (job in jobs.filter(dispatcher::cancelForAll)) {
+            log.event("instance", "job-cancelled", "job", job, "from", source)
+            entry.cancelAll(job)
+        }
     }
 
     /**
@@ -349,6 +355,9 @@
         }
 
         override fun submit(owner: String, message: PeerMessage.Submit) {
+            if (dispatcher.isCancelled(message.job.id)) {
+                return entry.onResult(message.number, message.job.id, JobResult.Cancelled)
+            }
             if (owner == self.instance) onSubmit(self.instance, message) else network.send(owner, message)
         }
 
@@ -368,11 +377,7 @@
     }
 
     private fun onCancel(instance: String, message: PeerMessage.Cancel) {
-        if (message.everyone) {
-            dispatcher.cancelForAll(message.job)
-        } else {
-            dispatcher.cancel(message.job, JobOrigin(instance, message.number), "caller left")
-        }
+        dispatcher.cancel(message.job, JobOrigin(instance, message.number), "caller left")
     }
 
     private inner class PeerMessageHandler : PeerListener {
@@ -386,6 +391,8 @@
 
                 is PeerMessage.Cancel -> onCancel(peer.instance, message)
 
+                is PeerMessage.Cancelled -> onCancelled(message.jobs, peer.instance)
+
                 is PeerMessage.OpenRequests -> dispatcher.retainRequests(peer.instance, message.numbers.toSet())
 
                 is PeerMessage.Ended -> entry.onResult(message.number, message.job, message.result)
@@ -423,6 +430,8 @@
             if (dispatcher.ownedDomains.isNotEmpty()) {
                 network.send(peer.instance, PeerMessage.Backends(listing.backends, listing.version))
             }
+            val cancelled = dispatcher.cancelledJobs()
+            if (cancelled.isNotEmpty()) network.send(peer.instance, PeerMessage.Cancelled(cancelled))
             val suspects = dispatcher.histories.filter { it.crashes.isNotEmpty() }
             if (suspects.isNotEmpty()) network.send(peer.instance, PeerMessage.Histories(suspects))
             network.send(peer.instance, PeerMessage.OpenRequests(entry.openRequestsAt(peer.instance)))
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -58,12 +58,15 @@
         val progress: JobProgress? = null,
     ) : PeerMessage
 
-    /**
-     * Withdraws a submitted job whose caller has disconnected, or cancels it for all instances if [everyone] is set.
-     */
+    /** Withdraws a submitted job whose caller has disconnected. */
     @Serializable
     @SerialName("cancel")
-    public data class Cancel(val number: Long, val job: JobId, val everyone: Boolean = false) : PeerMessage
+    public data class Cancel(val number: Long, val job: JobId) : PeerMessage
+
+    /** Jobs that were cancelled for all instances. Sent at once, and again when a connection opens. */
+    @Serializable
+    @SerialName("cancelled")
+    public data class Cancelled(val jobs: List<JobId>) : PeerMessage
 
     /** Numbers of all requests that the sender has open at the receiver. Sent when a connection opens. */
     @Serializable
