Wait for the right message in a test of the peers' connections

It waited until the last message was a probe, which the last probe of the ticks before satisfies, so the clock could advance before the message under test had arrived. It now waits for one probe more; the expectation is the same.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -145,8 +145,9 @@
         connect(owner, follower, others = 13)
         advance(ticks = 10, owner, follower)
         advance(ticks = 12, owner, follower)
+        val probes = owner.received.count { it.second == PROBE }
         onLoop { follower.network.send("a", PROBE) }
-        await { owner.received.last().second == PROBE }
+        await { owner.received.count { it.second == PROBE } > probes }
         onLoop {
             clock += SILENT_FOLLOWER_MS.milliseconds
             owner.network.tick()
