--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -45,6 +45,13 @@
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
+    private val selection = OwnerSelection(
+        own = { PeerView(self, PeerState.ALIVE, ownership.owned, leaving) },
+        peers = network::views,
+        isPerDomain = { ownership.isPerDomain },
+        heartbeatOf = network::heartbeatOf,
+        ownLoadPercent = dispatcher::loadPercent,
+    )
 
     /** Open requests of this instance's callers. */
     public val entry: EntryService = EntryService(clock, ownerClient, log)
@@ -153,7 +160,7 @@
             }
         }
         if (listing.removeExpired()) applyListing()
-        if (dispatcher.ownedDomains.isNotEmpty()) informNewOwners(otherOwners(peers))
+        if (dispatcher.ownedDomains.isNotEmpty()) informNewOwners(selection.otherOwners())
         entry.tick()
     }
 
@@ -163,9 +170,6 @@
         informedOwners = others
     }
 
-    private fun otherOwners(peers: List<PeerView>): Set<String> =
-        peers.filter { it.state == PeerState.ALIVE && it.owned.isNotEmpty() }.mapTo(HashSet()) { it.member.instance }
-
     private fun sendActiveRuns(owners: Set<String>, tasks: List<TaskKey>) {
         log.event("dispatch", "runs-remain", "tasks", tasks.size, "first", tasks.first(), "owners", owners.size)
         owners.forEach { network.send(it, PeerMessage.ActiveRuns(tasks)) }
@@ -241,15 +245,11 @@
             ownership.released,
             ownership.successors,
             if (dispatcher.ownedDomains.isEmpty()) 0 else dispatcher.loadPercent(),
-            if (dispatcher.ownedDomains.isEmpty()) emptyMap() else otherOwnerLoads(),
+            if (dispatcher.ownedDomains.isEmpty()) emptyMap() else selection.otherLoads(),
             store.isReachable,
             leaving,
         )
 
-    private fun otherOwnerLoads(): Map<String, Int> =
-        owners().filter { it.member.instance != self.instance }
-            .associate { it.member.instance to (network.heartbeatOf(it.member.instance)?.loadPercent ?: 0) }
-
     private inner class OwnershipChanges : OwnershipListener {
         override fun onAcquired(failureDomain: String, token: Long) {
             dispatcher.acquire(failureDomain, token)
@@ -311,34 +311,15 @@
         override fun historiesChanged(histories: List<TaskHistory>) =
             network.broadcast(PeerMessage.Histories(histories))
 
-        override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(otherOwners(network.views()), tasks)
+        override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(selection.otherOwners(), tasks)
 
         override fun onFenced(failureDomain: String) = ownership.onFenced(failureDomain)
     }
 
-    /** All reachable owners, including this instance. */
-    private fun owners(): List<PeerView> {
-        val own = PeerView(self, PeerState.ALIVE, ownership.owned, leaving)
-        return (network.views() + own).filter { it.state == PeerState.ALIVE && it.owned.isNotEmpty() }
-    }
-
     private inner class OwnerRouter : OwnerClient {
-        override fun ownerOrNull(): String? {
-            val owners = owners()
-            owners.firstOrNull { ownership.isPerDomain && self.failureDomain in it.owned }
-                ?.let { return it.member.instance }
-            return owners.minWithOrNull(BEST_OWNER)?.member?.instance
-        }
+        override fun ownerOrNull(): String? = selection.ownerOrNull()
 
-        override fun lessLoadedOrNull(owner: String): String? {
-            val loadsAtOwner = network.heartbeatOf(owner)?.ownerLoads.orEmpty()
-            return owners().map { it.member.instance }
-                .filter { it != owner }
-                .map { it to (loadsAtOwner[it] ?: network.heartbeatOf(it)?.loadPercent ?: dispatcher.loadPercent()) }
-                .filter { (_, loadPercent) -> loadPercent < OVERFLOW_PERCENT }
-                .minByOrNull { (_, loadPercent) -> loadPercent }
-                ?.first
-        }
+        override fun lessLoadedOrNull(owner: String): String? = selection.lessLoadedOrNull(owner)
 
         override fun isOwner(instance: String): Boolean =
             if (instance == self.instance) {
@@ -444,17 +425,10 @@
     }
 
     private companion object {
-        val BEST_OWNER = compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number }
         const val OWNERSHIP_TICK_MS = 50L
         const val DISPATCH_TICK_MS = 20L
         const val REGISTER_RETRY_MS = 300L
 
-        /**
-         * Jobs that one owner has refused are only sent to owners with a load below this, which reserves capacity for
-         * the callers of those owners.
-         */
-        const val OVERFLOW_PERCENT = 75
-
         /** Time without a response of any backend server after which a failure domain counts as unreachable. */
         const val CONTACT_MS = 1_000L
     }
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
@@ -0,0 +1,58 @@
+package medlarroute.dispatch
+
+/**
+ * Selects the owner to which an instance sends a job.
+ *
+ * @property own the instance itself, as its peers see it.
+ * @property peers the other instances.
+ * @property isPerDomain whether each failure domain has an owner of its own.
+ * @property heartbeatOf last heartbeat of a peer; null unless it is alive.
+ * @property ownLoadPercent load of the instance itself as an owner.
+ */
+internal class OwnerSelection(
+    private val own: () -> PeerView,
+    private val peers: () -> List<PeerView>,
+    private val isPerDomain: () -> Boolean,
+    private val heartbeatOf: (String) -> PeerMessage.Heartbeat?,
+    private val ownLoadPercent: () -> Int,
+) {
+    /** All reachable owners, including the instance itself. */
+    fun owners(): List<PeerView> =
+        (peers() + own()).filter { it.state == PeerState.ALIVE && it.owned.isNotEmpty() }
+
+    /** All reachable owners except the instance itself. */
+    fun otherOwners(): Set<String> =
+        owners().mapTo(HashSet()) { it.member.instance }.also { it -= own().member.instance }
+
+    /** Loads of the other owners in percent. */
+    fun otherLoads(): Map<String, Int> = otherOwners().associateWith { heartbeatOf(it)?.loadPercent ?: 0 }
+
+    /** The owner for new jobs; null if there is none. */
+    fun ownerOrNull(): String? {
+        val owners = owners()
+        val ownDomain = own().member.failureDomain
+        val nearest = owners.firstOrNull { isPerDomain() && ownDomain in it.owned }
+        return (nearest ?: owners.minWithOrNull(BEST_OWNER))?.member?.instance
+    }
+
+    /** The owner for a job that [owner] has refused; null if there is none with spare capacity. */
+    fun lessLoadedOrNull(owner: String): String? {
+        val loadsAtOwner = heartbeatOf(owner)?.ownerLoads.orEmpty()
+        return owners().map { it.member.instance }
+            .filter { it != owner }
+            .map { it to (loadsAtOwner[it] ?: heartbeatOf(it)?.loadPercent ?: ownLoadPercent()) }
+            .filter { (_, loadPercent) -> loadPercent < OVERFLOW_PERCENT }
+            .minByOrNull { (_, loadPercent) -> loadPercent }
+            ?.first
+    }
+
+    private companion object {
+        val BEST_OWNER = compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number }
+
+        /**
+         * Jobs that one owner has refused are only sent to owners with a load below this, which reserves capacity for
+         * the callers of those owners.
+         */
+        const val OVERFLOW_PERCENT = 75
+    }
+}
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -1,8 +1,8 @@
 package medlarroute.dispatch
 
 /**
- * Queues the tasks of lost backend servers again: at the end of their lease, or at once if the backend server is no
- * longer listed or runs as another process. [ActiveRunTable] decides when they may start.
+ * Queues the tasks of lost backend servers again: at the end of the lease if the backend server is silent, at once if
+ * it is no longer listed or runs as another process. [ActiveRunTable] decides when they may start.
  */
 internal class RunLossSystem(
     private val settings: DispatchSettings,
@@ -70,9 +70,7 @@
         row.isDescribed = false
     }
 
-    /**
-     * The backend server is no longer controlled by this instance; its runs end at the latest with their lease.
-     */
+    /** The backend server is no longer controlled by this instance; its runs end at the latest with their lease. */
     fun onUnlisted(row: BackendRow, nowMs: Long, isReleased: Boolean) {
         if (mayBeReplaced(nowMs)) extendByOtherOwner(nowMs) { it === row.lease }
         logInterrupted(row, if (isReleased) "RELEASED" else "UNLISTED")
