Connect to the owners that other owners report

Cause: right after the start an instance outside the three preferred candidates claimed all failure domains. Instances of other domains connect to preferred candidates and known owners only, and learned of an owner from its own heartbeats alone, so they never connected to this one; it kept four domains, and their callers' jobs went to the owner of another.

An instance now also monitors the owners whose load its known owners report. The new test of PeerNetworkTest failed before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -272,7 +272,11 @@
             monitored += peer
             if (peer.state == PeerState.ALIVE && !peer.heartbeat.leaving) available++
         }
-        monitored += others.filter { it.state == PeerState.ALIVE && it.heartbeat.owned.isNotEmpty() }
+        val owners = others.filter { it.state == PeerState.ALIVE && it.heartbeat.owned.isNotEmpty() }
+        monitored += owners
+        // An owner may be none of the candidates above. The other owners know it.
+        val reported = owners.flatMapTo(HashSet()) { it.heartbeat.ownerLoads.keys }
+        monitored += others.filter { it.member.instance in reported }
         return monitored
     }
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -137,6 +137,24 @@
         follower.stateOf(owner) shouldBe PeerState.ALIVE
     }
 
+    /**
+     * Guards against an owner that most instances never connect to, since it is none of their preferred candidates. It
+     * kept four of six failure domains, and their callers' jobs went to the owner of another one.
+     */
+    @Test
+    fun `in a large deployment a follower connects to an owner of which another one reports the load`() {
+        val preferred = Peer("a", 1)
+        val owner = Peer("z", 200).apply { heartbeat = heartbeat.copy(owned = mapOf("d" to 1L)) }
+        val follower = Peer("b", 2, failureDomain = "e")
+        connect(preferred, follower, others = 13)
+        onLoop { follower.network.addMember(owner.member) }
+        advance(ticks = 5, preferred, follower)
+        follower.stateOf(owner) shouldBe PeerState.SILENT
+        preferred.heartbeat = PeerMessage.Heartbeat(owned = mapOf("e" to 1L), ownerLoads = mapOf("z" to 10))
+        advance(ticks = 5, preferred, follower)
+        await { follower.network.isAlive("z") && owner.network.isAlive("b") }
+    }
+
     /** Guards against runs of a lost instance that continue until a heartbeat of the long interval is overdue. */
     @Test
     fun `an instance that submits a job to a distant owner counts as silent as soon as any other`() {
