--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -9,7 +9,7 @@
  * Further dispatchers, on other instances, may be added.
  */
 internal class SimulatedBackends(
-    private val clock: TestTimeSource = TestTimeSource(),
+    val clock: TestTimeSource = TestTimeSource(),
     private val failureDomains: Set<String> = setOf("d1"),
     settings: DispatchSettings = DispatchSettings(),
 ) {
