--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -186,7 +186,7 @@
         if (++task.starts > 1) {
             log.event(
                 "dispatch", "run-restarted", "job", task.key.job, "task", task.key, "run", task.run,
-                "backend", row.info.id, "incarnation", row.info.incarnation, "starts", task.starts,
+                "backend", row.info.id, "incarnation", row.info.incarnation, "token", token, "starts", task.starts,
                 "beside", row.tasks.size,
             )
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -266,7 +266,7 @@
         task.confirmedAtMs = row.backendClockMs(nowMs) ?: Long.MIN_VALUE
         log.event(
             "dispatch", "run-adopted", "job", task.key.job, "task", task.key, "run", task.run,
-            "backend", row.info.id,
+            "backend", row.info.id, "token", tables.token(row), "firstReportedMsAgo", nowMs - found.firstReportedMs,
         )
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -199,8 +199,9 @@
             job.openTasks--
         }
         log.event(
-            "dispatch", "job-resumed", "job", job.request.id, "done", progress.done.size,
-            "ordered", progress.ordered?.size, "highestRun", progress.highestRun,
+            "dispatch", "job-resumed", "job", job.request.id, "origin", job.origins.first().instance,
+            "done", progress.done.size, "ordered", progress.ordered?.size, "highestRun", progress.highestRun,
+            "runsEndInMs", progress.runsEndInMs,
         )
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -223,6 +223,7 @@
         log.event(
             "entry", "job-rerouted", "request", request.requestId, "job", request.job.id,
             "from", request.owner, "to", owner, "afterMs", nowMs() - request.arrivedAtMs,
+            "ordered", request.progress?.ordered?.size,
         )
         // An owner that this instance can't reach may still receive its messages and would continue the job.
         request.owner?.takeIf { it != owner }?.let { withdraw(request, it) }
