Forget which tasks an earlier owner had started once a job is with the next one

Cause: an entry keeps the progress that an owner reports when it hands a job over, and sent it with every later submission. It is true for the next owner only. That one starts tasks, and if it is lost or restarted, the third owner was told that they had not been started (ordered is an empty list) and started them at once, beside runs whose leases had up to 0.7 s left.

Evidence: OwnerChangeTest, two of two tasks ran twice in both tests before, none now. Ruled out as the reason there: late commands, lists and fencing, which the tests do not disturb. After a submission the entry now keeps what is done and the highest run, but not which tasks were started; the next owner then waits for the leases of runs that it does not find.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -56,6 +56,8 @@
 
         /** Whether tasks may have been started after an earlier submission of the job that was not refused. */
         var mayHaveRun = false
+
+        /** What earlier owners have reported; null if none has. */
         var progress: JobProgress? = null
         var ownershipLostAtMs = NEVER_MS
 
@@ -155,6 +157,8 @@
             progress = progress,
         )
         ownerClient.submit(owner, message)
+        // From now on this owner may start any task, which the report of an earlier owner doesn't tell.
+        request.progress = progress?.copy(ordered = null)
     }
 
     /**
