Show runs that outlast the wait of the next owner

An instance that sends a job to another owner, or a client that sends it again, waits for a fixed time. Nothing ends the runs of the first owner within that time: its polls extend the lease of all runs of a backend server, also of one whose stop is not executed, whose submitter is no longer heard, or which a new owner has found. Other owners only learn of it by a message.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -61,6 +61,12 @@
     /** Whether a poll lists runs that are being stopped. */
     var listsStoppingRuns = true
 
+    /** Whether messages between owners are lost. */
+    var losesOwnerMessages = false
+
+    /** Instances from which the owners hear nothing, without having noticed it. */
+    val silentInstances = HashSet<String>()
+
     private class Event(val atMs: Long, val number: Long, val action: () -> Unit)
 
     private val eventQueue = PriorityQueue<Event>(compareBy<Event> { it.atMs }.thenBy { it.number })
@@ -112,8 +118,11 @@
             histories.forEach { published[it.task] = published[it.task]?.merge(it) ?: it }
         }
 
-        override fun runsRemain(tasks: List<TaskKey>) = after(2) {
-            (owners - this).forEach { other -> other.deliver { other.dispatcher.learnActiveRuns(tasks) } }
+        override fun runsRemain(tasks: List<TaskKey>) {
+            if (losesOwnerMessages) return
+            after(2) {
+                (owners - this).forEach { other -> other.deliver { other.dispatcher.learnActiveRuns(tasks) } }
+            }
         }
 
         override fun onFenced(failureDomain: String) {
