Bound the leases of runs by the last renewal of their jobs

Cause: an instance that sends a job to another owner, and a client that sends it again after 1.3 s, count on the runs of the first owner having ended. Nothing enforced it. The first owner's polls extended the lease of every run of a backend server until it had read a withdrawal and its stop was executed; a new owner extended what it found. Messages between owners were meant to close the gap, and are lost when connections are reset. A bound that depends on a message is no bound.

Now heartbeats carry a time, which the instances that wait for jobs return with the numbers of their requests. An owner grants leases only up to 0.95 s after that time, starts no task whose job is not renewed, and extends the lease of an unknown run for 0.15 s at most, after a death of the owner before. The next owner waits 1.2 s, the sum with margins; a client waits 1.3 s. Idle polls wait 0.45 s in place of 0.5 s, so that their lease stays below the limit.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
@@ -133,6 +133,9 @@
     /** Latest end of any lease that this owner has granted, on the dispatcher's clock. */
     var endMs = NEVER_MS
 
+    /** The same without the margin for errors of the estimated clock of the backend server. */
+    var grantedUntilMs = NEVER_MS
+
     /** Latest end of a lease that another owner may have granted, on the dispatcher's clock. */
     var otherOwnerEndMs = NEVER_MS
     val latestEndMs: Long get() = maxOf(endMs, otherOwnerEndMs)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -14,6 +14,7 @@
     private val takeover: TakeoverSystem,
     private val health: BackendHealthSystem,
     private val isolation: IsolationSystem,
+    private val limits: LeaseLimits,
     private val log: EventLog,
 ) {
     private val usable = ArrayList<BackendRow>()
@@ -65,10 +66,24 @@
         blockedDemand = null
         for (job in tables.waiting) {
             val isLate = !job.everDispatched && nowMs > job.latestStartMs
-            if (isLate == late && job.queuedTasks > 0 && takeover.areRunsKnown(job, nowMs)) placeTasks(job, nowMs)
+            if (isLate != late || job.queuedTasks == 0) continue
+            if (takeover.areRunsKnown(job, nowMs) && isRenewed(job, nowMs)) placeTasks(job, nowMs)
         }
     }
 
+    /** Whether the submitter of [job] has certainly waited for it so recently that its tasks may start. */
+    private fun isRenewed(job: JobRow, nowMs: Long): Boolean {
+        val isRenewed = limits.limitMs(job) >= nowMs + settings.startValidityMs
+        if (!isRenewed && !job.isUnrenewed) {
+            log.event(
+                "dispatch", "job-unrenewed", "job", job.request.id, "origin", job.origins.firstOrNull()?.instance,
+                "renewedMsAgo", nowMs - job.renewedAtMs, "ordered", job.everDispatched,
+            )
+        }
+        job.isUnrenewed = !isRenewed
+        return isRenewed
+    }
+
     private fun placeTasks(job: JobRow, nowMs: Long) {
         for (task in job.allTasks()) {
             if (task.state != TaskState.QUEUED || isHeld(task) || isDelayed(task, nowMs)) continue
@@ -82,7 +97,7 @@
 
                 else -> chooseUnlessBlocked(task, nowMs)
             }
-            row?.let { start(task, it, nowMs) }
+            if (row != null && limits.mayStart(job, row, nowMs)) start(task, row, nowMs)
         }
     }
 
@@ -133,7 +148,7 @@
         var fastest: BackendRow? = null
         var fastestMs = Double.MAX_VALUE
         for (row in usable) {
-            if (!canRun(task, row)) continue
+            if (!canRun(task, row) || !limits.mayStart(task.job, row, nowMs)) continue
             val runMs = estimateMs / row.speed * rackFactor(task.step, row.info)
             // Skip backend servers that would make the job late as long as it can end in time on one of speed 1.
             if (runMs > allowedMs && estimateMs <= allowedMs) continue
@@ -192,7 +207,7 @@
         }
         row.reserve(task)
         tables.runs.recordOrdered(task.key, task.run, row, task.validUntilMs)
-        row.lease.endMs = maxOf(row.lease.endMs, leaseEnd(settings, nowMs, settings.leaseMs))
+        row.lease.grant(settings.startValidityMs, settings, nowMs)
         if (!job.everDispatched) {
             job.everDispatched = true
             job.firstDispatchedAtMs = nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -100,6 +100,8 @@
             losses.onReplaced(row, "incarnation ${report.incarnation} after ${row.info.incarnation}", nowMs)
         }
         row.info = row.info.copy(incarnation = report.incarnation)
+        // The previous owner may have granted a longer lease than this one grants first.
+        if (row.lastReportAtMs == NEVER_MS) tables.runs.recordForeignLease(row, nowMs + longestRunMs(settings))
         if (row.lastReportAtMs == NEVER_MS || row.isUnreachable) {
             log.event("backend", "reached", "backend", row.info.id, "runs", report.running.size)
             row.reachedAtMs = nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -5,9 +5,13 @@
  *
  * @property leaseMs lease of the runs on a backend server. Shorter than the platform's maximum of 1,000 ms, so that
  *   the runs of a dead owner end soon; longer than two [pollWaitMs], so that one lost poll expires no lease.
+ * @property renewedLeaseMs time after the last renewal of a job up to which the leases of its runs are extended. The
+ *   next owner of the job, and a caller that sends it again, wait longer than this and [unknownLeaseMs] together.
+ * @property unknownLeaseMs how long the lease of a run that is found after the death of the previous owner is extended
+ *   until its job is submitted here.
  * @property pollWaitMs how long a poll waits for a run to end.
  * @property idlePollWaitMs the same for a backend server without runs. The lease is longer by the difference to
- *   [pollWaitMs] and stays below the platform's maximum.
+ *   [pollWaitMs] and stays below [renewedLeaseMs], so that a task whose job was just renewed may start at any time.
  * @property pollTimeoutMs time beyond [pollWaitMs] after which a poll counts as lost: several round trips on a slow
  *   machine.
  * @property startValidityMs validity of a start command, so that commands which arrive seconds late are rejected.
@@ -34,11 +38,13 @@
  */
 public data class DispatchSettings(
     val leaseMs: Long = 700,
+    val renewedLeaseMs: Long = 950,
+    val unknownLeaseMs: Long = 150,
     val pollWaitMs: Long = 250,
-    val idlePollWaitMs: Long = 500,
+    val idlePollWaitMs: Long = 450,
     val pollTimeoutMs: Long = 150,
     val startValidityMs: Long = 200,
-    val unknownRunGraceMs: Long = 300,
+    val unknownRunGraceMs: Long = 150,
     val unclaimedCompletionMs: Long = 2_000,
     val hangTimeoutMs: Long = 450,
     val firstEjectionMs: Long = 1_500,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -84,6 +84,9 @@
 /** Row of the job table. */
 internal class JobRow(val request: JobRequest, val queue: QueueSettings, val arrivedAtMs: Long, val deadlineMs: Long) {
     val origins = LinkedHashSet<JobOrigin>(1)
+
+    /** Time at which an instance in [origins] has certainly still waited for the job. */
+    var renewedAtMs = NEVER_MS
     val tasks: List<List<TaskRow>> = request.steps.mapIndexed { stepNumber, step ->
         List(step.taskCount) { TaskRow(this, TaskKey(request.id, stepNumber, it), step) }
     }
@@ -118,10 +121,19 @@
     var firstDispatchedAtMs = 0L
     var queuedTasks = 0
 
+    /** Whether its tasks wait for a renewal before they start. */
+    var isUnrenewed = false
+
     /** Whether it is among [DispatchTables.waiting]. */
     var isWaiting = false
     var ended = false
 
+    /** [origin] waits for the job, as of [renewedAtMs]. */
+    fun addOrigin(origin: JobOrigin, renewedAtMs: Long) {
+        origins += origin
+        this.renewedAtMs = maxOf(this.renewedAtMs, renewedAtMs)
+    }
+
     fun task(key: TaskKey): TaskRow? = tasks.getOrNull(key.step)?.getOrNull(key.index)
 
     fun allTasks(): Sequence<TaskRow> = tasks.asSequence().flatten()
@@ -180,6 +192,9 @@
     /** How long the last poll may wait for a run to end. */
     var pollWaitMs = 0L
 
+    /** Whether the last poll did not extend the lease, or for too short a time for new starts. */
+    var isLeaseLimited = false
+
     /** Identifies the poll in flight, so that late responses of abandoned polls are ignored. */
     var pollNumber = 0L
 
@@ -270,6 +285,9 @@
     val tokens = HashMap<String, Long>()
     val ownedSinceMs = HashMap<String, Long>()
 
+    /** The same for the failure domains that their previous owners have not released. */
+    val takenOverAtMs = HashMap<String, Long>()
+
     val runs = ActiveRunTable()
     val cancelledJobs = CancelledJobs()
     val waitEstimator = WaitEstimator()
@@ -280,6 +298,22 @@
     fun backendsIn(failureDomain: String): List<BackendRow> =
         backends.values.filter { it.info.failureDomain == failureDomain }
 
+    /** Open jobs that [instance] waits for. */
+    fun jobsOf(instance: String): List<Pair<JobRow, JobOrigin>> = jobs.values.flatMap { job ->
+        job.origins.filter { it.instance == instance }.map { job to it }
+    }
+
+    /** What the next owner of [job] has to know. */
+    fun progressOf(job: JobRow, nowMs: Long) = JobProgress(
+        done = job.allTasks().filter { it.state == TaskState.DONE }.map { it.key }.toList(),
+        ordered = job.allTasks().filter { it.isDispatched || runs.findActive(it.key, nowMs) != null }
+            .map { it.key }.toList(),
+        highestRun = maxOf(job.highestPriorRun, job.highestStartedRun),
+        runsEndInMs = job.allTasks().mapNotNull { runs.findActive(it.key, nowMs) }
+            .maxOfOrNull { it.endMs - nowMs } ?: 0,
+        histories = job.allTasks().mapNotNull { it.history }.toList(),
+    )
+
     /** Whether the backend servers of [service] reject what exceeds their capacity; false if unknown. */
     fun isGuarded(service: ServiceId): Boolean = configuration?.serviceOrNull(service)?.rejectsOverload == true
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -21,11 +21,13 @@
     private val health = BackendHealthSystem(settings, tables, log)
     private val isolation = IsolationSystem(settings, tables, health, log)
     private val crashes = CrashSystem(settings, tables, actions, log)
-    private val placement = DispatchPlacement(settings, tables, actions, takeover, health, isolation, log)
+    private val limits = LeaseLimits(settings, tables)
+    private val placement = DispatchPlacement(settings, tables, actions, takeover, health, isolation, limits, log)
     private val losses = RunLossSystem(settings, tables, ends, crashes, placement, log)
+    private val listing = BackendListingSystem(tables, losses, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
-    private val polls = BackendPollSystem(settings, tables, actions)
+    private val polls = BackendPollSystem(settings, tables, actions, limits, log)
     private var tickedAtMs = 0L
 
     /** Milliseconds since the dispatcher was created. */
@@ -70,7 +72,7 @@
         tables.jobs.values.count { it.queue.id == queue && !it.everDispatched }
 
     /** Instances that wait for the results of open jobs. */
-    public fun waitingInstances(): Set<String> =
+    public val waitingInstances: Set<String> get() =
         tables.jobs.values.flatMapTo(HashSet()) { job -> job.origins.map { it.instance } }
 
     /** Failure domains that this instance owns. */
@@ -80,10 +82,16 @@
         tables.configuration = configuration
     }
 
-    /** Takes over [failureDomain]; commands to its backend servers carry [token] from now on. */
-    public fun acquire(failureDomain: String, token: Long) {
+    /**
+     * Takes over [failureDomain]; commands to its backend servers carry [token] from now on.
+     *
+     * @param wasReleased whether the previous owner has released it, and so has told the instances that wait for jobs.
+     */
+    public fun acquire(failureDomain: String, token: Long, wasReleased: Boolean = false) {
+        val nowMs = nowMs()
         tables.tokens[failureDomain] = token
-        tables.ownedSinceMs[failureDomain] = nowMs()
+        tables.ownedSinceMs[failureDomain] = nowMs
+        if (wasReleased) tables.takenOverAtMs.remove(failureDomain) else tables.takenOverAtMs[failureDomain] = nowMs
     }
 
     /**
@@ -96,7 +104,7 @@
         val nowMs = nowMs()
         for (row in tables.backendsIn(failureDomain)) {
             val stops = row.tasks.values.map { StopCommand(row.info, it.key, it.run, token) }
-            removeBackend(row, nowMs, isReleased = true)
+            listing.remove(row, nowMs, isReleased = true)
             stops.forEach(actions::stop)
         }
         losses.onReleased(failureDomain, nowMs)
@@ -104,41 +112,7 @@
 
     /** Replaces the list of backend servers of the owned failure domains. */
     public fun updateBackends(listed: Collection<BackendInfo>) {
-        val nowMs = nowMs()
-        val owned = listed.filter { it.failureDomain in tables.tokens }.associateBy { it.id }
-        tables.backends.values.filter { it.info.id !in owned }.forEach { removeBackend(it, nowMs) }
-        owned.values.forEach { updateBackend(it, nowMs) }
-    }
-
-    private fun updateBackend(info: BackendInfo, nowMs: Long) {
-        val row = tables.backends[info.id]
-        if (row == null) {
-            tables.backends[info.id] = BackendRow(info, tables.runs.lease(info))
-            return
-        }
-        if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
-        if (!info.isSameProcess(row.info)) {
-            losses.onReplaced(row, "listed with another process", nowMs)
-            row.replaceInfo(info)
-            return
-        }
-        if (info.draining != row.info.draining) {
-            log.event("backend", "draining", "backend", info.id, "draining", info.draining)
-        }
-        if (info.capacity != row.info.capacity) {
-            log.event(
-                "backend", "resized", "backend", info.id, "was", row.info.capacity, "is", info.capacity,
-                "free", row.free, "tasks", row.tasks.size,
-            )
-            row.resize(info.capacity)
-        }
-        row.info = if (info.incarnation == 0L) info.copy(incarnation = row.info.incarnation) else info
-        row.isDescribed = true
-    }
-
-    private fun removeBackend(row: BackendRow, nowMs: Long, isReleased: Boolean = false) {
-        tables.backends.remove(row.info.id)
-        losses.onUnlisted(row, nowMs, isReleased)
+        listing.update(listed.filter { it.failureDomain in tables.tokens }, nowMs())
     }
 
     /**
@@ -147,6 +121,7 @@
      * @param timeoutMs how long the caller still waits.
      * @param waitedMs how long the caller has waited already.
      * @param progress progress of the job under a previous owner; null if the job is new.
+     * @param renewedMsAgo time since [origin] has certainly waited for the job, see [renew].
      */
     public fun submit(
         request: JobRequest,
@@ -154,17 +129,23 @@
         timeoutMs: Long,
         waitedMs: Long = 0,
         progress: JobProgress? = null,
+        renewedMsAgo: Long = 0,
     ) {
         val nowMs = nowMs()
         if (request.id in tables.cancelledJobs) return actions.jobEnded(origin, request.id, JobResult.Cancelled)
-        tables.jobs[request.id]?.let { return it.join(origin) }
+        val open = tables.jobs[request.id]
+        if (open != null) {
+            open.addOrigin(origin, nowMs - renewedMsAgo)
+            log.event("dispatch", "job-joined", "job", request.id, "origin", origin.instance)
+            return
+        }
         progress?.let { crashes.mergeAll(it.histories, nowMs) }
         val decision = admission.decide(request, nowMs - waitedMs, nowMs + timeoutMs, progress, nowMs)
         val job = when (decision) {
             is AdmissionDecision.Refused -> return refuse(request, origin, decision.result, nowMs)
             is AdmissionDecision.Admitted -> decision.job
         }
-        job.origins += origin
+        job.addOrigin(origin, nowMs - renewedMsAgo)
         crashes.assignHistories(job)
         tables.jobs[request.id] = job
         job.highestPriorRun = job.allTasks().maxOfOrNull { tables.runs.highestRun(it.key) } ?: 0
@@ -184,11 +165,6 @@
         actions.jobEnded(origin, request.id, result)
     }
 
-    private fun JobRow.join(origin: JobOrigin) {
-        origins += origin
-        log.event("dispatch", "job-joined", "job", request.id, "origin", origin.instance)
-    }
-
     private fun resume(job: JobRow, progress: JobProgress, nowMs: Long) {
         job.highestPriorRun = maxOf(job.highestPriorRun, progress.highestRun)
         job.everDispatched = true
@@ -230,7 +206,7 @@
     public fun isCancelled(job: JobId): Boolean = job in tables.cancelledJobs
 
     /** Jobs that were cancelled for all instances within the last half minute. */
-    public fun cancelledJobs(): List<JobId> = tables.cancelledJobs.all(nowMs())
+    public val cancelledJobs: List<JobId> get() = tables.cancelledJobs.all(nowMs())
 
     /**
      * Withdraws the jobs of an instance that is unreachable. Returns the progress of each, to be sent to the instance
@@ -238,8 +214,8 @@
      */
     public fun onInstanceLost(instance: String): List<Triple<JobOrigin, JobId, JobProgress>> {
         losses.onInstanceLost(nowMs())
-        return jobsOf(instance).map { (job, origin) ->
-            val progress = progressOf(job)
+        return tables.jobsOf(instance).map { (job, origin) ->
+            val progress = tables.progressOf(job, nowMs())
             cancel(job.request.id, origin, "instance $instance is lost")
             Triple(origin, job.request.id, progress)
         }
@@ -247,15 +223,41 @@
 
     /** Withdraws the jobs of [instance] that are not among its open [requests]: it has sent them to another owner. */
     public fun retainRequests(instance: String, requests: Set<Long>) {
-        val withdrawn = jobsOf(instance).filter { (_, origin) -> origin.request !in requests }
+        val withdrawn = tables.jobsOf(instance).filter { (_, origin) -> origin.request !in requests }
         withdrawn.forEach { (job, origin) -> cancel(job.request.id, origin, "instance $instance has no such request") }
     }
 
-    /** Open jobs that [instance] waits for. */
-    private fun jobsOf(instance: String): List<Pair<JobRow, JobOrigin>> = tables.jobs.values.flatMap { job ->
-        job.origins.filter { it.instance == instance }.map { job to it }
+    /**
+     * [instance] has waited for the jobs of [requests] until [ageMs] ago, and may have sent them to another owner
+     * since. The leases of their runs may be extended for a limited time from then on.
+     */
+    public fun renew(instance: String, requests: Collection<Long>, ageMs: Long) {
+        val renewedAtMs = nowMs() - ageMs
+        val numbers = requests.toSet()
+        for (job in tables.jobs.values) {
+            val isOpen = job.origins.any { it.instance == instance && it.request in numbers }
+            if (isOpen) job.renewedAtMs = maxOf(job.renewedAtMs, renewedAtMs)
+        }
     }
 
+    /**
+     * Withdraws the jobs that no instance has renewed for so long that the leases of their runs end. Returns the
+     * progress of each, to be sent to the instances that may wait for it.
+     */
+    public fun withdrawUnrenewed(): List<Triple<JobOrigin, JobId, JobProgress>> {
+        val nowMs = nowMs()
+        return tables.jobs.values.filter { nowMs >= limits.limitMs(it) }.flatMap { job ->
+            val progress = tables.progressOf(job, nowMs())
+            job.origins.toList().map { origin ->
+                cancel(job.request.id, origin, "not renewed for ${nowMs - job.renewedAtMs} ms")
+                Triple(origin, job.request.id, progress)
+            }
+        }
+    }
+
+    /** Requests of other instances, and of this one, whose jobs are open here. */
+    internal val openRequests: List<JobOrigin> get() = tables.jobs.values.flatMap { it.origins }
+
     public fun onStartResult(command: StartCommand, result: StartResult) {
         replies.onStartResult(command, result, nowMs())
         place(nowMs())
@@ -295,7 +297,7 @@
     public fun handOver(): List<Triple<JobOrigin, JobId, JobProgress>> {
         val moved = ArrayList<Triple<JobOrigin, JobId, JobProgress>>()
         for (job in tables.jobs.values) {
-            val progress = progressOf(job)
+            val progress = tables.progressOf(job, nowMs())
             job.origins.forEach { moved += Triple(it, job.request.id, progress) }
             job.ended = true
         }
@@ -305,19 +307,6 @@
         return moved
     }
 
-    private fun progressOf(job: JobRow): JobProgress {
-        val nowMs = nowMs()
-        return JobProgress(
-            done = job.allTasks().filter { it.state == TaskState.DONE }.map { it.key }.toList(),
-            ordered = job.allTasks().filter { it.isDispatched || tables.runs.findActive(it.key, nowMs) != null }
-                .map { it.key }.toList(),
-            highestRun = maxOf(job.highestPriorRun, job.highestStartedRun),
-            runsEndInMs = job.allTasks().mapNotNull { tables.runs.findActive(it.key, nowMs) }
-                .maxOfOrNull { it.endMs - nowMs } ?: 0,
-            histories = job.allTasks().mapNotNull { it.history }.toList(),
-        )
-    }
-
     /** Whether any backend server of [failureDomain] has responded within [ageMs]; null if none is listed. */
     public fun hasRecentContact(failureDomain: String, ageMs: Long): Boolean? {
         val rows = tables.backendsIn(failureDomain)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -204,6 +204,15 @@
     /** Owners at which this instance has requests open. */
     internal fun owners(): Set<String> = pending.values.mapNotNullTo(HashSet()) { it.owner }
 
+    /** Numbers of the requests that this instance has open, by owner. */
+    internal fun openRequestsByOwner(): Map<String, List<Long>> {
+        val byOwner = HashMap<String, ArrayList<Long>>()
+        for (request in pending.values) {
+            request.owner?.let { byOwner.getOrPut(it) { ArrayList() } += request.number }
+        }
+        return byOwner
+    }
+
     /** Numbers of the requests that this instance has open at [owner]. */
     internal fun openRequestsAt(owner: String): List<Long> =
         pending.values.filter { it.owner == owner }.map { it.number }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -42,6 +42,7 @@
     private val withoutStore = HashSet<String>()
     private val listing = BackendListing(clock)
     private var leaving = false
+    private var renewedAtMs = 0L
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
@@ -159,11 +160,21 @@
                 }
             }
         }
+        renewJobs()
         if (listing.removeExpired()) applyListing()
         if (dispatcher.ownedDomains.isNotEmpty()) informNewOwners(selection.otherOwners())
         entry.tick()
     }
 
+    /** Renews the jobs of this instance's own callers, and withdraws those that other instances no longer renew. */
+    private fun renewJobs() {
+        // What has arrived before the last tick has been read, also if the process was paused since.
+        val lastTickAtMs = renewedAtMs
+        renewedAtMs = dispatcher.nowMs()
+        dispatcher.renew(self.instance, entry.openRequestsAt(self.instance), renewedAtMs - lastTickAtMs)
+        dispatcher.withdrawUnrenewed().forEach { (origin, job, progress) -> sendMoved(origin, job, progress) }
+    }
+
     private fun informNewOwners(others: Set<String>) {
         val remaining = if (others.all { it in informedOwners }) emptyList() else dispatcher.remainingRuns()
         if (remaining.isNotEmpty()) sendActiveRuns(others - informedOwners, remaining)
@@ -251,8 +262,8 @@
         )
 
     private inner class OwnershipChanges : OwnershipListener {
-        override fun onAcquired(failureDomain: String, token: Long) {
-            dispatcher.acquire(failureDomain, token)
+        override fun onAcquired(failureDomain: String, token: Long, wasReleased: Boolean) {
+            dispatcher.acquire(failureDomain, token, wasReleased)
             dispatcher.updateBackends(listing.backends)
             network.sendHeartbeatNow()
             dispatcher.tick()
@@ -339,7 +350,8 @@
             if (dispatcher.isCancelled(message.job.id)) {
                 return entry.onResult(message.number, message.job.id, JobResult.Cancelled)
             }
-            if (owner == self.instance) onSubmit(self.instance, message) else network.send(owner, message)
+            if (owner == self.instance) return onSubmit(self.instance, message)
+            network.send(owner, message.copy(heardAtMs = network.heardAtMsOrNull(owner)))
         }
 
         override fun cancel(owner: String, message: PeerMessage.Cancel) {
@@ -352,11 +364,29 @@
         val recorded = results.find(origin, message.job.id)
         when {
             recorded != null -> network.send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
+
             dispatcher.ownedDomains.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
-            else -> dispatcher.submit(message.job, origin, message.timeoutMs, message.waitedMs, message.progress)
+
+            else -> dispatcher.submit(
+                message.job,
+                origin,
+                message.timeoutMs,
+                message.waitedMs,
+                message.progress,
+                renewedMsAgo(instance, message),
+            )
         }
     }
 
+    /** Time since [instance] has certainly waited for the job; longer than any lease if that is unknown. */
+    private fun renewedMsAgo(instance: String, message: PeerMessage.Submit): Long {
+        if (instance == self.instance) return 0
+        val ageMs = message.heardAtMs?.let(network::ageMsOrNull)
+        // The instance answers a heartbeat with a renewal.
+        if (ageMs == null || ageMs > RECENT_MS) network.sendHeartbeatNow(instance)
+        return ageMs ?: UNKNOWN_AGE_MS
+    }
+
     private fun onCancel(instance: String, message: PeerMessage.Cancel) {
         dispatcher.cancel(message.job, JobOrigin(instance, message.number), "caller left")
     }
@@ -394,6 +424,9 @@
         }
 
         private fun onHeartbeat(peer: PeerMember, heartbeat: PeerMessage.Heartbeat) {
+            heartbeat.renewal?.let { renewal ->
+                network.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer.instance, renewal.requests, it) }
+            }
             // Instances that reach the store have the members from there.
             if (heartbeat.storeReachable) {
                 withoutStore -= peer.instance
@@ -411,7 +444,7 @@
             if (dispatcher.ownedDomains.isNotEmpty()) {
                 network.send(peer.instance, PeerMessage.Backends(listing.backends, listing.version))
             }
-            val cancelled = dispatcher.cancelledJobs()
+            val cancelled = dispatcher.cancelledJobs
             if (cancelled.isNotEmpty()) network.send(peer.instance, PeerMessage.Cancelled(cancelled))
             val suspects = dispatcher.histories.filter { it.crashes.isNotEmpty() }
             if (suspects.isNotEmpty()) network.send(peer.instance, PeerMessage.Histories(suspects))
@@ -421,7 +454,9 @@
 
         override fun heartbeat(): PeerMessage.Heartbeat = this@FleetInstance.heartbeat()
 
-        override fun partners(): Set<String> = entry.owners() + dispatcher.waitingInstances()
+        override fun openRequests(): Map<String, List<Long>> = entry.openRequestsByOwner()
+
+        override fun partners(): Set<String> = entry.owners() + dispatcher.waitingInstances
     }
 
     private companion object {
@@ -429,6 +464,10 @@
         const val DISPATCH_TICK_MS = 20L
         const val REGISTER_RETRY_MS = 300L
 
+        /** A job that was renewed within this time starts at once on most backend servers. */
+        const val RECENT_MS = 300L
+        const val UNKNOWN_AGE_MS = 60_000L
+
         /** Time without a response of any backend server after which a failure domain counts as unreachable. */
         const val CONTACT_MS = 1_000L
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -4,7 +4,8 @@
 
 /** Receives changes of the ownership by this instance. */
 public interface OwnershipListener {
-    public fun onAcquired(failureDomain: String, token: Long)
+    /** [wasReleased] tells whether the previous owner has released the failure domain. */
+    public fun onAcquired(failureDomain: String, token: Long, wasReleased: Boolean)
 
     public fun onLost(failureDomain: String)
 }
@@ -204,7 +205,9 @@
         for (domain in domains.values) {
             domain.unownedSinceMs = if (isUnowned(domain)) domain.unownedSinceMs ?: nowMs() else null
         }
-        domains.values.filter { isUnowned(it) && isHandedOver(it) }.forEach { acquire(it, nextToken(it)) }
+        domains.values.filter {
+            isUnowned(it) && isHandedOver(it)
+        }.forEach { acquire(it, nextToken(it), wasReleased = true) }
         val unowned = domains.values.filter { isUnowned(it) && isCandidate(it) }
         if (unowned.isEmpty()) {
             unownedSinceMs = null
@@ -348,14 +351,14 @@
     private val OwnershipDomain.highestToken: Long
         get() = peers.maxOfOrNull { maxOf(it.owned[name] ?: 0, it.released[name] ?: 0) } ?: 0
 
-    private fun acquire(domain: OwnershipDomain, token: Long) {
+    private fun acquire(domain: OwnershipDomain, token: Long, wasReleased: Boolean = false) {
         if (domain.ownedToken == token) return
         domain.ownedToken = token
         domain.usedToken = maxOf(domain.usedToken, token)
         domain.releasedToken = null
         renewedAtMs = nowMs()
         log.event("owner", "claimed", "failureDomain", domain.name, "token", token, "recordVersion", domain.version)
-        listener.onAcquired(domain.name, token)
+        listener.onAcquired(domain.name, token, wasReleased)
     }
 
     private fun write(records: List<VersionedOwner>, claims: Boolean) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -23,6 +23,8 @@
      *   distant owners less often than their own.
      * @property storeReachable whether the platform's store responds to the sender.
      * @property intervalMs time until the sender's next heartbeat, in milliseconds.
+     * @property sentAtMs time on the sender's clock, see [PeerClock].
+     * @property renewal the sender's open requests at the receiver; null if there are none.
      */
     @Serializable
     @SerialName("beat")
@@ -36,6 +38,8 @@
         val storeReachable: Boolean = true,
         val leaving: Boolean = false,
         val intervalMs: Long = 100,
+        val sentAtMs: Long = 0,
+        val renewal: Renewal? = null,
     ) : PeerMessage {
         /** The content of which a change is reported at once. */
         internal fun withoutLoads(): Heartbeat = copy(loadPercent = 0, ownerLoads = emptyMap())
@@ -47,6 +51,8 @@
      * @property timeoutMs how long the caller still waits.
      * @property waitedMs how long the caller has waited already.
      * @property progress progress of the job under a previous owner; null if no previous owner can have started a task.
+     * @property heardAtMs [Heartbeat.sentAtMs] of the receiver's last heartbeat that the sender has received; null if
+     *   it has received none.
      */
     @Serializable
     @SerialName("submit")
@@ -56,6 +62,7 @@
         val timeoutMs: Long,
         val waitedMs: Long,
         val progress: JobProgress? = null,
+        val heardAtMs: Long? = null,
     ) : PeerMessage
 
     /** Withdraws a submitted job whose caller has disconnected. */
@@ -111,3 +118,13 @@
     @SerialName("members")
     public data class Members(val members: List<PeerMember>) : PeerMessage
 }
+
+/**
+ * Requests that an instance has open at an owner, which may let their runs continue for a limited time from now on.
+ *
+ * @property requests numbers of the requests.
+ * @property heardAtMs [PeerMessage.Heartbeat.sentAtMs] of the owner's last heartbeat that the instance has received.
+ *   The time limit begins then, so that it does not depend on how long the messages take.
+ */
+@Serializable
+public data class Renewal(val requests: List<Long>, val heardAtMs: Long)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -31,6 +31,9 @@
 
     /** Instances that run jobs for this instance, or for which it runs jobs. Their loss must be detected early. */
     public fun partners(): Set<String>
+
+    /** Numbers of the requests that this instance has open, by the owner that runs their jobs. */
+    public fun openRequests(): Map<String, List<Long>>
 }
 
 /**
@@ -61,6 +64,9 @@
         var refused = false
         var state = PeerState.SILENT
         var heartbeat = PeerMessage.Heartbeat()
+
+        /** Time of the last heartbeat. */
+        var heartbeatReceivedAtMs = NEVER_MS
         var listed = false
 
         /** Time of the last heartbeat to the peer, and the interval that it announced. */
@@ -69,6 +75,7 @@
     }
 
     private val elapsed = ElapsedClock(clock)
+    private val peerClock = PeerClock(clock)
     private val peers = HashMap<String, Peer>()
     private var server: Channel? = null
     private var sentHeartbeat = PeerMessage.Heartbeat()
@@ -128,6 +135,13 @@
     /** The last known incarnation of [instance]; null if the instance is unknown. */
     public fun memberOrNull(instance: String): PeerMember? = peers[instance]?.member
 
+    /** [PeerMessage.Heartbeat.sentAtMs] of the last heartbeat of [instance]; null if there is none. */
+    public fun heardAtMsOrNull(instance: String): Long? =
+        peers[instance]?.takeIf { it.heartbeatReceivedAtMs != NEVER_MS }?.heartbeat?.sentAtMs
+
+    /** Time since this instance has sent the heartbeat with [sentAtMs]; null if another process has sent it. */
+    public fun ageMsOrNull(sentAtMs: Long): Long? = peerClock.ageMsOrNull(sentAtMs)
+
     public fun isAlive(instance: String): Boolean = peers[instance]?.state == PeerState.ALIVE
 
     /**
@@ -155,6 +169,13 @@
     /** Sends a heartbeat to all peers now. */
     public fun sendHeartbeatNow(): Unit = sendHeartbeats(isDue = { _, _ -> true })
 
+    /** Sends a heartbeat to [instance] now, since it needs the time or the renewal in it. */
+    public fun sendHeartbeatNow(instance: String) {
+        val peer = peers[instance] ?: return
+        val intervalMs = heartbeatIntervalMs(peer, sentHeartbeat, listener.partners())
+        sendHeartbeat(peer, intervalMs, EncodedHeartbeats(sentHeartbeat))
+    }
+
     private fun sendHeartbeats(isDue: (Peer, Long) -> Boolean) {
         sentHeartbeat = listener.heartbeat()
         val partners = listener.partners()
@@ -178,16 +199,29 @@
         val channel = peer.channel ?: return
         peer.heartbeatSentAtMs = nowMs()
         peer.announcedIntervalMs = intervalMs
-        channel.writeAndFlush(encoded.get(intervalMs), channel.voidPromise())
+        channel.writeAndFlush(encoded.get(peer, intervalMs), channel.voidPromise())
     }
 
-    /** Encodes a heartbeat once for each interval that it announces. */
-    private inner class EncodedHeartbeats(private val heartbeat: PeerMessage.Heartbeat) {
+    /** Encodes a heartbeat once for each interval that it announces, and once for each peer with a renewal. */
+    private inner class EncodedHeartbeats(heartbeat: PeerMessage.Heartbeat) {
+        private val stamped = heartbeat.copy(sentAtMs = peerClock.nowMs())
+        private val openRequests = listener.openRequests()
         private val byIntervalMs = HashMap<Long, ByteArray>()
 
-        fun get(intervalMs: Long): ByteBuf = Unpooled.wrappedBuffer(
-            byIntervalMs.getOrPut(intervalMs) { toBytes(heartbeat.copy(intervalMs = intervalMs)) },
-        )
+        fun get(peer: Peer, intervalMs: Long): ByteBuf {
+            val renewal = renewalOrNull(peer)
+            val bytes = if (renewal == null) {
+                byIntervalMs.getOrPut(intervalMs) { toBytes(stamped.copy(intervalMs = intervalMs)) }
+            } else {
+                toBytes(stamped.copy(intervalMs = intervalMs, renewal = renewal))
+            }
+            return Unpooled.wrappedBuffer(bytes)
+        }
+
+        private fun renewalOrNull(peer: Peer): Renewal? {
+            val requests = openRequests[peer.member.instance] ?: return null
+            return heardAtMsOrNull(peer.member.instance)?.let { Renewal(requests, it) }
+        }
     }
 
     /**
@@ -320,7 +354,9 @@
 
         override fun channelActive(context: ChannelHandlerContext) {
             context.write(encode(PeerMessage.Hello(self())))
-            context.writeAndFlush(encode(listener.heartbeat().copy(intervalMs = settings.heartbeatIntervalMs)))
+            val heartbeat = listener.heartbeat()
+                .copy(intervalMs = settings.heartbeatIntervalMs, sentAtMs = peerClock.nowMs())
+            context.writeAndFlush(encode(heartbeat))
         }
 
         override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) {
@@ -335,12 +371,22 @@
             val from = peer ?: return
             from.receivedAtMs = nowMs()
             if (message is PeerMessage.Heartbeat) {
-                from.heartbeat = message
-                updateState(from, nowMs())
+                onHeartbeat(from, message)
             }
             listener.onMessage(from.member, message)
         }
 
+        private fun onHeartbeat(from: Peer, heartbeat: PeerMessage.Heartbeat) {
+            val nowMs = nowMs()
+            val sinceLastMs = nowMs - from.heartbeatReceivedAtMs
+            from.heartbeat = heartbeat
+            from.heartbeatReceivedAtMs = nowMs
+            updateState(from, nowMs)
+            // An owner whose heartbeats come rarely starts no task before the request is renewed with a recent one.
+            val isWaiting = sinceLastMs > RENEWAL_GAP_MS && from.member.instance in listener.openRequests()
+            if (isWaiting) sendHeartbeatNow(from.member.instance)
+        }
+
         private fun onHello(channel: Channel, member: PeerMember) {
             if (member.instance == self().instance) {
                 channel.close()
@@ -384,6 +430,9 @@
     private companion object {
         const val LENGTH_BYTES = 4
 
+        /** More than two short heartbeat intervals. */
+        const val RENEWAL_GAP_MS = 300L
+
         /** One connection dialed by each side, and one that replaces a broken one. */
         const val MAX_CONNECTIONS = 3
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
@@ -4,8 +4,8 @@
  * Delays starts after a takeover while an unknown run of a previous owner may still be active, so that no task runs
  * twice at the same time.
  *
- * A run ends at the latest one lease after the last poll by its owner. All runs are known once that time has passed, or
- * once every backend server has reported its runs under this owner's token.
+ * A run ends at the latest [longestRunMs] after its submitter has last renewed it. All runs are known once that time
+ * has passed, or once every backend server has reported its runs under this owner's token.
  */
 internal class TakeoverSystem(
     private val settings: DispatchSettings,
@@ -50,6 +50,9 @@
 /** Time that a backend server may take to stop a run once its lease has expired or it has acknowledged a stop. */
 internal const val STOP_MARGIN_MS = 80L
 
-/** How long a run may go on after the last poll that extended its lease, in milliseconds. */
+/**
+ * How long a run may go on after the last renewal of its job, in milliseconds, also under a new owner that does not
+ * know the job. Each owner enforces this by [LeaseLimits].
+ */
 internal fun longestRunMs(settings: DispatchSettings): Long =
-    (MAX_LEASE_MS * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
+    ((settings.renewedLeaseMs + settings.unknownLeaseMs) * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -36,6 +36,8 @@
 
         override fun heartbeat(): PeerMessage.Heartbeat = heartbeat
 
+        override fun openRequests(): Map<String, List<Long>> = emptyMap()
+
         override fun partners(): Set<String> = partners
 
         fun heartbeatsFrom(peer: Peer) = received.count { (from, message) ->
