Let simulated owners report to other instances over a network

The owners of SimulatedBackends reached each other and the callers at once and without loss, so no test could lose or delay what one owner tells another. Unchanged for the tests that pass no peers.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -74,6 +74,11 @@
         trace(text)
     }
 
+    /** Logs to [trace] only, with the [name] of the instance. */
+    fun traceLog(name: String) = EventLog { part, event, fields ->
+        trace("$name $part $event ${fields.joinToString(" ")}")
+    }
+
     /** The same with the starts and ends of runs, and with the time of each in milliseconds. */
     val trace = ArrayList<String>()
 
@@ -81,9 +86,14 @@
         trace += "$nowMs $text"
     }
 
-    /** An instance with its dispatcher. */
-    inner class Owner(settings: DispatchSettings) : DispatchActions {
-        val dispatcher = Dispatcher(settings, clock, this, log)
+    /**
+     * An instance with its dispatcher.
+     *
+     * @param name precedes the events of this instance in [trace].
+     * @param peers receives what the dispatcher reports to other instances; null if it reaches them without a network.
+     */
+    inner class Owner(settings: DispatchSettings, name: String?, private val peers: OwnerPeers?) : DispatchActions {
+        val dispatcher = Dispatcher(settings, clock, this, if (name == null) log else traceLog(name))
 
         /** The process is stopped; responses wait until it goes on. */
         var isFrozen = false
@@ -104,6 +114,7 @@
         override fun poll(request: PollRequest, number: Long) = poll(this, request, number)
 
         override fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult) {
+            peers?.let { return it.jobEnded(origin, job, result) }
             results[job] = result
             resultAtMs[job] = nowMs
         }
@@ -112,11 +123,15 @@
             histories.forEach { published[it.task] = published[it.task]?.merge(it) ?: it }
         }
 
-        override fun runsRemain(tasks: List<TaskKey>) = after(2) {
-            (owners - this).forEach { other -> other.deliver { other.dispatcher.learnActiveRuns(tasks) } }
+        override fun runsRemain(tasks: List<TaskKey>) {
+            peers?.let { return it.runsRemain(tasks) }
+            after(2) {
+                (owners - this).forEach { other -> other.deliver { other.dispatcher.learnActiveRuns(tasks) } }
+            }
         }
 
         override fun onFenced(failureDomain: String) {
+            peers?.let { return it.onFenced(failureDomain) }
             fenced += failureDomain
         }
     }
@@ -133,7 +148,11 @@
         owners -= owner
     }
 
-    fun addOwner(settings: DispatchSettings = DispatchSettings()): Owner = Owner(settings).also { owners += it }
+    fun addOwner(
+        settings: DispatchSettings = DispatchSettings(),
+        name: String? = null,
+        peers: OwnerPeers? = null,
+    ): Owner = Owner(settings, name, peers).also { owners += it }
 
     class Run(val run: Int, val startedAtMs: Long, val workMs: Long, val demand: Resources) {
         var isStopping = false
@@ -427,3 +446,12 @@
             QueueSettings(QueueId(id), "h", "/$id/", ServiceId("s"), priority, maxAttempts, 1.6, objectiveMs)
     }
 }
+
+/** What an owner reports to other instances. */
+internal interface OwnerPeers {
+    fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult)
+
+    fun runsRemain(tasks: List<TaskKey>)
+
+    fun onFenced(failureDomain: String)
+}
