Add a property test of entries and owners with links between them

The present property test hands jobs in at the dispatchers itself, so it never runs EntryService and can't lose a message between an entry and an owner. This one runs entries, owners, their connections, liveness and takeovers on the virtual clock, under pauses, cuts, resets, restarts and handovers.

EntryService keeps the progress of a handover and sends it again when the next owner is lost, so the third owner starts tasks that the second one has started.

--- /dev/null
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
@@ -0,0 +1,257 @@
+package medlarroute.dispatch
+
+import kotlin.random.Random
+import kotlin.time.TestTimeSource
+
+/**
+ * Entries and owners of failure domains with simulated links between them, under random pauses, cuts, losses and
+ * handovers.
+ *
+ * A client sends its job again only after the entry that held it has dropped it. That two entries hold the same job at
+ * the same time, because the first has not noticed that its client has left, is a known open point and not included.
+ */
+internal class EntryConcurrentRunScenario(private val random: Random) {
+    private val clock = TestTimeSource()
+    private val sim = SimulatedBackends(clock)
+    private val fleet = SimulatedFleet(sim, clock, random, OWNERS, ENTRIES)
+    private val owners = HashMap<String, SimulatedOwner>()
+    private val entries = HashMap<String, SimulatedEntry>()
+    private val ownership = SimulatedOwnership(fleet) { OWNERS.mapNotNull { owners[it] } }
+    private val clients = ArrayList<Client>()
+
+    /** A caller with one job, which it sends until the job is complete. */
+    private inner class Client(val request: JobRequest) {
+        private var attempts = 0
+        private var handle = 0L
+        var entry: SimulatedEntry? = null
+            private set
+
+        fun send() {
+            val next = running(entries).filterNot { it.isPaused }.randomOrNull(random) ?: return repeat()
+            entry = next
+            attempts++
+            val timeoutMs = random.nextLong(2_000, 3_000)
+            handle = next.service.submit(request, "${request.id}-$attempts", timeoutMs) { result ->
+                entry = null
+                if (result != JobResult.Complete) repeat()
+            }
+        }
+
+        /** Sends the job again later. Called when no entry holds it. */
+        private fun repeat() {
+            if (attempts < MAX_ATTEMPTS) sim.after(REPEAT_MS + random.nextLong(REPEAT_SPREAD_MS)) { send() }
+        }
+
+        /** The connection breaks. The entry drops the job when it notices that, which may be after a pause. */
+        fun disconnect() {
+            val holder = entry ?: return
+            val dropped = handle
+            holder.deliver {
+                if (entry === holder && handle == dropped) {
+                    entry = null
+                    holder.service.cancel(dropped)
+                    repeat()
+                }
+            }
+        }
+
+        /** The process of its entry has ended. */
+        fun onEntryKilled() {
+            entry = null
+            repeat()
+        }
+    }
+
+    fun check() {
+        setUp()
+        var step = 0
+        while (step++ < STEPS && sim.concurrentRuns.isEmpty()) {
+            if (random.nextInt(3) > 0) addClient()
+            disturb()
+            run(random.nextLong(20, 500))
+        }
+        run(AFTERWARDS_MS)
+        val task = sim.concurrentRuns.firstOrNull() ?: return
+        throw AssertionError("$task ran twice at the same time:\n" + traceOf(task).joinToString("\n"))
+    }
+
+    private fun run(forMs: Long) {
+        val untilMs = sim.nowMs + forMs
+        while (sim.nowMs < untilMs && sim.concurrentRuns.isEmpty()) sim.run(sim.nowMs + 1)
+    }
+
+    private fun traceOf(task: TaskKey): List<String> {
+        val sinceFirst = sim.trace.dropWhile { "job ${task.job} " !in it }
+        return sinceFirst.filter { line ->
+            listOf("$task ", "job ${task.job} ", " fault ", " process ").any { it in line }
+        }
+    }
+
+    private fun <T : SimulatedProcess> running(processes: Map<String, T>): List<T> =
+        processes.toSortedMap().values.filter { it.isRunning }
+
+    private fun setUp() {
+        sim.kill(sim.owners.single())
+        repeat(BACKENDS) { sim.add("b$it", domain = DOMAINS[it % DOMAINS.size]) }
+        sim.workMs = { random.nextLong(40, 2_500) }
+        val lateShare = random.nextDouble(0.3)
+        sim.lateByMs = { if (random.nextDouble() < lateShare) random.nextLong(10, 3_000) else null }
+        sim.lateStopByMs = { if (random.nextDouble() < lateShare) random.nextLong(200, 4_000) else null }
+        OWNERS.forEach(::startOwner)
+        ENTRIES.forEach(::startEntry)
+        ownership.start(DOMAINS, OWNERS.map { owners.getValue(it) })
+        run(WARM_UP_MS)
+        repeat(FIRST_JOBS) { addClient() }
+    }
+
+    private fun startOwner(name: String) {
+        val member = fleet.newMember(name, DOMAINS[OWNERS.indexOf(name) % DOMAINS.size])
+        owners[name] = SimulatedOwner(fleet, ownership, member).also { it.start() }
+    }
+
+    private fun startEntry(name: String) {
+        val member = fleet.newMember(name, DOMAINS[ENTRIES.indexOf(name) % DOMAINS.size])
+        entries[name] = SimulatedEntry(fleet, member).also { it.start() }
+    }
+
+    private fun addClient() {
+        val request = sim.job("j${clients.size}", random.nextInt(1, 5), cpuMillis = 4_000, estimateMs = 300)
+        clients += Client(request).also { it.send() }
+    }
+
+    private fun disturb() {
+        when (random.nextInt(12)) {
+            0 -> pause(running(owners))
+            1 -> pause(running(entries))
+            2 -> cutLink(isOneWay = true)
+            3 -> cutLink(isOneWay = false)
+            4 -> cutMachine()
+            5 -> restartOwner()
+            6 -> handOver()
+            7 -> changeOwnersInSeries()
+            8 -> clients.filter { it.entry != null }.randomOrNull(random)?.let(::disconnect)
+            9 -> restartEntry()
+            10 -> resetLink()
+            else -> slowLink()
+        }
+    }
+
+    private fun fault(text: String) = sim.trace("fault $text")
+
+    private fun pause(candidates: List<SimulatedProcess>) {
+        val process = candidates.filterNot { it.isPaused }.randomOrNull(random) ?: return
+        val forMs = random.nextLong(200, 1_500)
+        fault("pause of ${process.name} for $forMs ms")
+        process.pause()
+        sim.after(forMs) {
+            fault("end of the pause of ${process.name}")
+            process.resume()
+        }
+    }
+
+    /** Names of an owner and of another machine that is connected to it. */
+    private fun randomLink(): Pair<String, String> {
+        val owner = OWNERS.random(random)
+        return owner to (OWNERS + ENTRIES + ENTRIES).filter { it != owner }.random(random)
+    }
+
+    private fun cutMs() = random.nextLong(100, 3_000)
+
+    private fun cutLink(isOneWay: Boolean) {
+        val (one, other) = randomLink()
+        val isReversed = random.nextBoolean()
+        val forMs = cutMs()
+        if (!isOneWay || !isReversed) cut(one, other, forMs)
+        if (!isOneWay || isReversed) cut(other, one, forMs)
+    }
+
+    private fun cut(from: String, to: String, forMs: Long) {
+        fault("cut from $from to $to for $forMs ms")
+        fleet.links.cut(from, to, forMs)
+    }
+
+    /** Cuts all links of a machine, in one direction or both. */
+    private fun cutMachine() {
+        val machine = (OWNERS + ENTRIES).random(random)
+        val forMs = cutMs()
+        val directions = random.nextInt(1, 4)
+        fault("cut of machine $machine, directions $directions, for $forMs ms")
+        for (other in (OWNERS + ENTRIES).filter { it != machine }) {
+            if (directions != 1) fleet.links.cut(machine, other, forMs)
+            if (directions != 2) fleet.links.cut(other, machine, forMs)
+        }
+    }
+
+    private fun slowLink() {
+        val (one, other) = randomLink()
+        val forMs = cutMs()
+        fault("slow link between $one and $other for $forMs ms")
+        fleet.links.slow(one, other, forMs)
+        fleet.links.slow(other, one, forMs)
+    }
+
+    private fun resetLink() {
+        val (one, other) = randomLink()
+        val owner = owners[one]?.takeIf { it.isRunning } ?: return
+        val peer = (owners[other] ?: entries[other])?.takeIf { it.isRunning } ?: return
+        fault("reset of connections between $one and $other")
+        fleet.links.reset(owner, peer)
+    }
+
+    private fun restartOwner() {
+        val owner = running(owners).randomOrNull(random) ?: return
+        val losesPower = random.nextInt(3) == 0
+        fault("kill of ${owner.name}, power lost $losesPower")
+        owner.kill(losesPower)
+        sim.after(random.nextLong(50, 1_000)) {
+            fault("start of ${owner.name}")
+            startOwner(owner.name)
+        }
+    }
+
+    private fun handOver() {
+        val domain = DOMAINS.random(random)
+        fault("handover of $domain")
+        ownership.handOver(domain)
+    }
+
+    /** A rolling restart: several owners change within a short time. */
+    private fun changeOwnersInSeries() {
+        var atMs = 0L
+        repeat(random.nextInt(2, 5)) {
+            sim.after(atMs) { if (random.nextInt(3) == 0) restartOwner() else handOver() }
+            atMs += random.nextLong(30, 700)
+        }
+    }
+
+    private fun disconnect(client: Client) {
+        fault("client of job ${client.request.id} leaves")
+        client.disconnect()
+    }
+
+    private fun restartEntry() {
+        val entry = running(entries).randomOrNull(random) ?: return
+        val losesPower = random.nextInt(3) == 0
+        fault("kill of ${entry.name}, power lost $losesPower")
+        entry.kill(losesPower)
+        clients.filter { it.entry === entry }.forEach { it.onEntryKilled() }
+        sim.after(random.nextLong(100, 1_500)) {
+            fault("start of ${entry.name}")
+            startEntry(entry.name)
+        }
+    }
+
+    private companion object {
+        val DOMAINS = listOf("d1", "d2", "d3")
+        val OWNERS = listOf("o1", "o2", "o3", "o4")
+        val ENTRIES = listOf("e1", "e2", "e3")
+        const val BACKENDS = 6
+        const val STEPS = 25
+        const val FIRST_JOBS = 4
+        const val WARM_UP_MS = 400L
+        const val AFTERWARDS_MS = 5_000L
+        const val MAX_ATTEMPTS = 4
+        const val REPEAT_MS = 1_300L
+        const val REPEAT_SPREAD_MS = 300L
+    }
+}
--- /dev/null
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -0,0 +1,227 @@
+package medlarroute.dispatch
+
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/** What all simulated instances of a scenario share. */
+internal class SimulatedFleet(
+    val sim: SimulatedBackends,
+    val clock: TimeSource.WithComparableMarks,
+    val random: Random,
+    val ownerNames: List<String>,
+    val entryNames: List<String>,
+) {
+    val links = SimulatedLinks(sim, random)
+    private var nextNumber = 1L
+
+    fun newMember(name: String, failureDomain: String) = PeerMember(name, failureDomain, name, 1, nextNumber++)
+}
+
+/** An instance that accepts the jobs of callers. It sends them to owners as [FleetInstance] does. */
+internal class SimulatedEntry(private val fleet: SimulatedFleet, member: PeerMember) :
+    SimulatedProcess(member, fleet.ownerNames, fleet.sim, fleet.links, fleet.random),
+    OwnerClient {
+    private val selection = OwnerSelection(
+        own = { PeerView(member, PeerState.ALIVE, owned = emptyMap(), leaving = false) },
+        peers = ::views,
+        isPerDomain = { true },
+        heartbeatOf = ::heartbeatOf,
+        ownLoadPercent = { 0 },
+    )
+
+    val service = EntryService(fleet.clock, this, fleet.sim.traceLog(name))
+
+    override fun ownerOrNull(): String? = selection.ownerOrNull()
+
+    override fun lessLoadedOrNull(owner: String): String? = selection.lessLoadedOrNull(owner)
+
+    override fun isOwner(instance: String): Boolean = heartbeatOf(instance)?.owned?.isNotEmpty() == true
+
+    override fun incarnationOrNull(instance: String): Long? = memberOrNull(instance)?.number
+
+    override fun submit(owner: String, message: PeerMessage.Submit) {
+        sim.trace("$name sends job ${message.job.id} to $owner as ${message.number} progress ${message.progress}")
+        send(owner, message)
+    }
+
+    override fun cancel(owner: String, message: PeerMessage.Cancel) = send(owner, message)
+
+    override fun heartbeat() = PeerMessage.Heartbeat()
+
+    override fun onMessage(peer: String, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Ended -> service.onResult(message.number, message.job, message.result)
+            is PeerMessage.Moved -> service.onMoved(message.number, message.job, message.progress)
+            else -> Unit
+        }
+    }
+
+    override fun onConnected(peer: String) {
+        send(peer, PeerMessage.OpenRequests(service.openRequestsAt(peer)))
+        service.onReconnected(peer)
+    }
+
+    override fun ownershipTick() = service.tick()
+}
+
+/** An instance that may own failure domains, with its dispatcher. It answers entries as [FleetInstance] does. */
+internal class SimulatedOwner(
+    private val fleet: SimulatedFleet,
+    private val ownership: SimulatedOwnership,
+    member: PeerMember,
+) : SimulatedProcess(member, fleet.ownerNames + fleet.entryNames, fleet.sim, fleet.links, fleet.random),
+    OwnerPeers {
+    private val controller = fleet.sim.addOwner(name = "$name#${member.number}", peers = this)
+    private val results = RecentResults(fleet.clock)
+    private val lostInstances = HashSet<String>()
+    private var informedOwners: Set<String> = emptySet()
+    private val released = HashMap<String, Long>()
+    private val tokens = HashMap<String, Long>()
+    private var resumedAtMs = NEVER_MS
+
+    /** Failure domains that this process takes to be its own, with their tokens. */
+    val owned: Map<String, Long> get() = tokens
+    private val dispatcher get() = controller.dispatcher
+
+    private fun otherOwners(): Set<String> =
+        views().filter { it.state == PeerState.ALIVE && it.owned.isNotEmpty() }.mapTo(HashSet()) { it.member.instance }
+
+    override fun start() {
+        sim.configure(controller, SimulatedBackends.queue())
+        super.start()
+    }
+
+    override fun heartbeat() = PeerMessage.Heartbeat(
+        configurationVersion = 1,
+        owned = tokens.toMap(),
+        released = released.toMap(),
+        loadPercent = if (tokens.isEmpty()) 0 else dispatcher.loadPercent(),
+        ownerLoads = if (tokens.isEmpty()) emptyMap() else otherOwners().associateWith { loadOf(it) },
+    )
+
+    private fun loadOf(owner: String) = heartbeatOf(owner)?.loadPercent ?: 0
+
+    fun acquire(failureDomain: String, token: Long) {
+        sim.trace("process $name acquires $failureDomain token $token")
+        tokens[failureDomain] = token
+        dispatcher.acquire(failureDomain, token)
+        updateBackends()
+        sendHeartbeatNow()
+        dispatcher.tick()
+    }
+
+    fun updateBackends() = dispatcher.updateBackends(sim.backends.values.map { it.info })
+
+    /** Releases [failureDomains], or learns that it has lost them. Jobs move if no failure domain is left. */
+    fun lose(failureDomains: Set<String>, isPlanned: Boolean) {
+        val lost = failureDomains.filter { it in tokens }
+        lost.forEach { domain ->
+            sim.trace("process $name loses $domain planned $isPlanned")
+            val token = tokens.remove(domain)
+            if (isPlanned && token != null) released[domain] = token
+        }
+        for (domain in lost) {
+            val moved = if (tokens.isEmpty()) dispatcher.handOver() else emptyList()
+            dispatcher.release(domain)
+            if (tokens.isEmpty()) sendHeartbeatNow()
+            moved.forEach { (origin, job, progress) -> sendMoved(origin, job, progress) }
+        }
+    }
+
+    private fun sendMoved(origin: JobOrigin, job: JobId, progress: JobProgress) {
+        sim.trace("$name moves job $job of ${origin.instance} progress $progress")
+        send(origin.instance, PeerMessage.Moved(origin.request, job, progress))
+    }
+
+    override fun ownershipTick() {
+        val replaced = tokens.filter { (domain, token) -> isReplaced(domain, token) }.keys
+        if (replaced.isNotEmpty()) lose(replaced, isPlanned = false)
+        for (peer in peerNames()) {
+            if (isAlive(peer)) {
+                lostInstances -= peer
+            } else if (lostInstances.add(peer)) {
+                onInstanceLost(peer)
+            }
+        }
+        if (tokens.isNotEmpty()) informNewOwners()
+        if (tokens.isNotEmpty()) updateBackends()
+    }
+
+    /** Whether a peer with a higher token was heard, or the record in the store has one. */
+    private fun isReplaced(domain: String, token: Long): Boolean =
+        peerNames().any { (heartbeatOf(it)?.owned?.get(domain) ?: 0) > token } ||
+            (sim.nowMs - resumedAtMs > RECORD_READ_MS && ownership.recordedToken(domain) > token)
+
+    private fun onInstanceLost(instance: String) = dispatcher.onInstanceLost(
+        instance,
+    ).forEach { (origin, job, progress) ->
+        sendMoved(origin, job, progress)
+    }
+
+    private fun informNewOwners() {
+        val others = otherOwners()
+        val remaining = if (others.all { it in informedOwners }) emptyList() else dispatcher.remainingRuns()
+        if (remaining.isNotEmpty()) sendActiveRuns(others - informedOwners, remaining)
+        informedOwners = others
+    }
+
+    private fun sendActiveRuns(owners: Set<String>, tasks: List<TaskKey>) {
+        sim.trace("$name tells ${owners.sorted()} of active runs ${tasks.joinToString(" ")} ")
+        owners.forEach { send(it, PeerMessage.ActiveRuns(tasks)) }
+    }
+
+    override fun onMessage(peer: String, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Submit -> onSubmit(peer, message)
+            is PeerMessage.Cancel -> dispatcher.cancel(message.job, JobOrigin(peer, message.number), "caller left")
+            is PeerMessage.OpenRequests -> dispatcher.retainRequests(peer, message.numbers.toSet())
+            is PeerMessage.ActiveRuns -> dispatcher.learnActiveRuns(message.tasks)
+            else -> Unit
+        }
+    }
+
+    private fun onSubmit(instance: String, message: PeerMessage.Submit) {
+        val origin = JobOrigin(instance, message.number)
+        val recorded = results.find(origin, message.job.id)
+        when {
+            recorded != null -> send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
+            tokens.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
+            else -> dispatcher.submit(message.job, origin, message.timeoutMs, message.waitedMs, message.progress)
+        }
+    }
+
+    override fun onConnected(peer: String) = Unit
+
+    override fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult) {
+        results.record(origin, job, result)
+        send(origin.instance, PeerMessage.Ended(origin.request, job, result))
+    }
+
+    override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(otherOwners(), tasks)
+
+    override fun onFenced(failureDomain: String) = lose(setOf(failureDomain), isPlanned = false)
+
+    override fun pause() {
+        super.pause()
+        controller.isFrozen = true
+        addDueTimer(dispatcher::tick)
+    }
+
+    override fun readMessages() {
+        resumedAtMs = sim.nowMs
+        val readsPeersFirst = fleet.random.nextBoolean()
+        if (readsPeersFirst) super.readMessages()
+        controller.isFrozen = false
+        if (!readsPeersFirst) super.readMessages()
+    }
+
+    override fun kill(losesPower: Boolean) {
+        super.kill(losesPower)
+        sim.kill(controller)
+    }
+
+    private companion object {
+        /** An owner that goes on after a pause learns from the store that it was replaced with its next renewal. */
+        const val RECORD_READ_MS = 150L
+    }
+}
--- /dev/null
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
@@ -0,0 +1,216 @@
+package medlarroute.dispatch
+
+import kotlin.random.Random
+
+/**
+ * One process of an instance, with the connections and the liveness of its peers as [PeerNetwork] keeps them.
+ *
+ * While the process is paused, messages wait, and timers that become due run once when it goes on.
+ */
+internal abstract class SimulatedProcess(
+    val member: PeerMember,
+    peerNames: Collection<String>,
+    protected val sim: SimulatedBackends,
+    private val links: SimulatedLinks,
+    private val random: Random,
+) {
+    val name: String get() = member.instance
+
+    private class Peer(val name: String) {
+        val connections = LinkedHashSet<SimulatedLinks.Connection>()
+        var member: PeerMember? = null
+        var receivedAtMs = NEVER_MS
+        var dialedAtMs = NEVER_MS
+        var isAlive = false
+        var heartbeat = PeerMessage.Heartbeat()
+        var heartbeatSentAtMs = NEVER_MS
+        var announcedIntervalMs = 0L
+        val connection: SimulatedLinks.Connection? get() = connections.lastOrNull()
+    }
+
+    private val settings = PeerNetworkSettings()
+    private val peers = peerNames.filter { it != member.instance }.associateWith(::Peer)
+    private val inbox = ArrayList<() -> Unit>()
+    private val dueTimers = LinkedHashSet<() -> Unit>()
+    private var sentHeartbeat = PeerMessage.Heartbeat()
+    var isPaused = false
+        private set
+    var isRunning = true
+        private set
+
+    protected abstract fun heartbeat(): PeerMessage.Heartbeat
+
+    protected abstract fun onMessage(peer: String, message: PeerMessage)
+
+    protected abstract fun onConnected(peer: String)
+
+    /** Called every 50 ms, as [FleetInstance] does. */
+    protected abstract fun ownershipTick()
+
+    open fun start() {
+        links.add(this)
+        schedule(settings.heartbeatIntervalMs, ::networkTick)
+        schedule(OWNERSHIP_TICK_MS, ::ownershipTick)
+    }
+
+    /** Calls [action] every [periodMs], beginning at a random time. */
+    protected fun schedule(
+        periodMs: Long,
+        action: () -> Unit,
+    ) = repeatAfter(random.nextLong(periodMs), periodMs, action)
+
+    private fun repeatAfter(delayMs: Long, periodMs: Long, action: () -> Unit) {
+        sim.after(delayMs) {
+            if (!isRunning) return@after
+            if (isPaused) dueTimers += action else action()
+            repeatAfter(periodMs, periodMs, action)
+        }
+    }
+
+    /** Runs [action] in this process, after a pause if it is paused. */
+    fun deliver(action: () -> Unit) {
+        if (!isRunning) return
+        if (isPaused) inbox += action else action()
+    }
+
+    open fun pause() {
+        isPaused = true
+    }
+
+    /** Lets [timer] run at the end of the pause. */
+    protected fun addDueTimer(timer: () -> Unit) {
+        dueTimers += timer
+    }
+
+    /** Ends a pause. The timers that are due may run before the messages that have arrived are read. */
+    fun resume() {
+        if (!isRunning) return
+        isPaused = false
+        if (random.nextInt(3) == 0) runDueTimers()
+        readMessages()
+        runDueTimers()
+    }
+
+    private fun runDueTimers() {
+        val due = dueTimers.shuffled(random)
+        dueTimers.clear()
+        due.forEach { it() }
+    }
+
+    protected open fun readMessages() {
+        val waiting = inbox.toList()
+        inbox.clear()
+        waiting.forEach { it() }
+    }
+
+    open fun kill(losesPower: Boolean) {
+        isRunning = false
+        links.remove(this, losesPower)
+    }
+
+    fun connections(): List<SimulatedLinks.Connection> = peers.values.flatMap { it.connections }
+
+    fun isAlive(peer: String): Boolean = peers[peer]?.isAlive == true
+
+    protected fun memberOrNull(peer: String): PeerMember? = peers[peer]?.member
+
+    protected fun heartbeatOf(peer: String): PeerMessage.Heartbeat? = peers[peer]?.takeIf { it.isAlive }?.heartbeat
+
+    protected fun views(): List<PeerView> = peers.values.mapNotNull { peer ->
+        val state = if (peer.isAlive) PeerState.ALIVE else PeerState.SILENT
+        val last = peer.heartbeat
+        peer.member?.let { PeerView(it, state, last.owned, last.leaving, last.released, last.successors) }
+    }
+
+    protected fun peerNames(): Set<String> = peers.keys
+
+    fun send(peer: String, message: PeerMessage) {
+        peers[peer]?.connection?.send(this, message)
+    }
+
+    protected fun sendHeartbeatNow() = sendHeartbeats { _, _ -> true }
+
+    private fun sendHeartbeats(isDue: (Peer, Long) -> Boolean) {
+        sentHeartbeat = heartbeat()
+        val intervalMs =
+            if (sentHeartbeat.owned.isEmpty()) settings.followerHeartbeatIntervalMs else settings.heartbeatIntervalMs
+        for (peer in peers.values) {
+            if (!isDue(peer, intervalMs)) continue
+            val connection = peer.connection ?: continue
+            peer.heartbeatSentAtMs = sim.nowMs
+            peer.announcedIntervalMs = intervalMs
+            connection.send(this, sentHeartbeat.copy(intervalMs = intervalMs))
+        }
+    }
+
+    private fun networkTick() {
+        val hasChanged = heartbeat().withoutLoads() != sentHeartbeat.withoutLoads()
+        sendHeartbeats { peer, intervalMs ->
+            val dueAfterMs = minOf(intervalMs, peer.announcedIntervalMs) - settings.heartbeatIntervalMs
+            hasChanged || sim.nowMs - peer.heartbeatSentAtMs > dueAfterMs
+        }
+        for (peer in peers.values) {
+            updateState(peer)
+            val redialAfterMs = settings.redialAfterMs(peer.heartbeat.intervalMs)
+            val isConnected = peer.connection != null && sim.nowMs - peer.receivedAtMs <= redialAfterMs
+            if (!isConnected && sim.nowMs - peer.dialedAtMs >= settings.connectTimeoutMs) dial(peer)
+        }
+    }
+
+    private fun updateState(peer: Peer) {
+        val isAlive = sim.nowMs - peer.receivedAtMs <= settings.silentMs(peer.heartbeat.intervalMs)
+        if (isAlive == peer.isAlive) return
+        peer.isAlive = isAlive
+        sim.trace("process $name finds ${peer.name} ${if (isAlive) "alive" else "silent"}")
+        if (isAlive) return
+        peer.connections.forEach { it.close(this) }
+        peer.connections.clear()
+    }
+
+    private fun dial(peer: Peer) {
+        peer.dialedAtMs = sim.nowMs
+        links.dial(this, peer.name)
+    }
+
+    fun onOpened(connection: SimulatedLinks.Connection) {
+        connection.send(this, PeerMessage.Hello(member))
+        connection.send(this, heartbeat().copy(intervalMs = settings.heartbeatIntervalMs))
+    }
+
+    /** No process listens at the machine [peer]. */
+    fun onRefused(peer: String) {
+        val refusing = peers[peer] ?: return
+        refusing.receivedAtMs = NEVER_MS
+        updateState(refusing)
+    }
+
+    fun onReceived(connection: SimulatedLinks.Connection, message: PeerMessage) {
+        val peer = peers[connection.peerOf(this).name] ?: return
+        if (message is PeerMessage.Hello) return onHello(peer, connection, message.member)
+        if (connection !in peer.connections) return
+        peer.receivedAtMs = sim.nowMs
+        if (message is PeerMessage.Heartbeat) {
+            peer.heartbeat = message
+            updateState(peer)
+        }
+        onMessage(peer.name, message)
+    }
+
+    private fun onHello(peer: Peer, connection: SimulatedLinks.Connection, remote: PeerMember) {
+        if (connection.isClosed) return
+        peer.member = remote
+        peer.connections += connection
+        peer.receivedAtMs = sim.nowMs
+        peer.announcedIntervalMs = 0
+        onConnected(peer.name)
+    }
+
+    fun onClosed(connection: SimulatedLinks.Connection) {
+        val peer = peers[connection.peerOf(this).name] ?: return
+        if (peer.connections.remove(connection) && peer.connections.isEmpty()) dial(peer)
+    }
+
+    private companion object {
+        const val OWNERSHIP_TICK_MS = 50L
+    }
+}
