Open simulated connections on both sides before either reads

The side that dialed could read the name of the other before it had sent its own, so that its list of open requests was ignored. Real connections can't do this. An owner that is paused counts as silent for as long as the product lets it, and traces leave out instances that have nothing to do with the job.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
@@ -80,10 +80,14 @@
         while (sim.nowMs < untilMs && sim.concurrentRuns.isEmpty()) sim.run(sim.nowMs + 1)
     }
 
+    /** What concerns [task] and its job, and what happened to the instances that had to do with the job. */
     private fun traceOf(task: TaskKey): List<String> {
         val sinceFirst = sim.trace.dropWhile { "job ${task.job} " !in it }
+        val concerned = sinceFirst.filter { "$task " in it || "job ${task.job} " in it }
+        val names = (OWNERS + ENTRIES).filter { name -> concerned.any { name in it } }
         return sinceFirst.filter { line ->
-            listOf("$task ", "job ${task.job} ", " fault ", " process ").any { it in line }
+            val isEvent = " fault " in line || " process " in line
+            "$task " in line || "job ${task.job} " in line || (isEvent && (names + DOMAINS).any { it in line })
         }
     }
 
@@ -92,7 +96,10 @@
 
     private fun setUp() {
         sim.kill(sim.owners.single())
-        repeat(BACKENDS) { sim.add("b$it", domain = DOMAINS[it % DOMAINS.size]) }
+        repeat(BACKENDS) {
+            val domain = DOMAINS[it % DOMAINS.size]
+            sim.add("$domain-b$it", domain = domain)
+        }
         sim.workMs = { random.nextLong(40, 2_500) }
         val lateShare = random.nextDouble(0.3)
         sim.lateByMs = { if (random.nextDouble() < lateShare) random.nextLong(10, 3_000) else null }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedLinks.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedLinks.kt
@@ -44,14 +44,13 @@
     /** Opens a connection from [process] to the machine [to], if both directions of the link work. */
     fun dial(process: SimulatedProcess, to: String) {
         if (isCut(process.name, to)) return
-        sim.after(delayMs(process.name, to)) {
-            val target = processes[to]
+        sim.after(delayMs(process.name, to) + delayMs(to, process.name)) {
             if (isCut(to, process.name) || to in machinesWithoutPower) return@after
-            val connection = target?.let { Connection(process, it) }
-            if (connection != null) target.deliver { target.onOpened(connection) }
-            sim.after(delayMs(to, process.name)) {
-                process.deliver { if (connection == null) process.onRefused(to) else process.onOpened(connection) }
-            }
+            val target = processes[to] ?: return@after process.deliver { process.onRefused(to) }
+            // Each side sends its own name before it reads that of the other.
+            val connection = Connection(process, target)
+            target.deliver { target.onOpened(connection) }
+            process.deliver { process.onOpened(connection) }
         }
     }
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedOwnership.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedOwnership.kt
@@ -8,9 +8,10 @@
         var renewedAtMs = 0L
 
         /** Differs with each claim, since claimants read the store at different times. */
-        var staleMs = STALE_MS
+        var claimDelayMs = 0L
     }
 
+    private val settings = OwnershipSettings(tokenSuffix = 0)
     private val records = HashMap<String, Record>()
     private val sim get() = fleet.sim
     private val random get() = fleet.random
@@ -33,7 +34,7 @@
         val record = records.getValue(domain)
         record.owner = owner
         record.renewedAtMs = sim.nowMs
-        record.staleMs = STALE_MS + random.nextLong(SPREAD_MS)
+        record.claimDelayMs = random.nextLong(SPREAD_MS)
         val token = ++record.token
         val acquire = { owner.deliver { if (record.token == token) owner.acquire(domain, token) } }
         if (delayMs == 0L) acquire() else sim.after(delayMs) { acquire() }
@@ -45,13 +46,16 @@
             val isRenewing = owner != null && owner.isRunning && !owner.isPaused
             if (isRenewing) {
                 record.renewedAtMs = sim.nowMs
-            } else if (sim.nowMs - record.renewedAtMs >= record.staleMs) {
+            } else if (sim.nowMs - record.renewedAtMs >= staleMs(owner) + record.claimDelayMs) {
                 claimantOrNull()?.let { give(domain, it) }
             }
         }
         sim.after(CHECK_MS, ::checkRecords)
     }
 
+    private fun staleMs(owner: SimulatedOwner?) =
+        if (owner?.isRunning == true) settings.staleMs else settings.staleIfRefusedMs
+
     private fun claimantOrNull(): SimulatedOwner? {
         val candidates = running().filterNot { it.isPaused }.shuffled(random)
         return candidates.minByOrNull { it.owned.size }
@@ -71,7 +75,6 @@
 
     private companion object {
         const val CHECK_MS = 50L
-        const val STALE_MS = 450L
         const val SPREAD_MS = 600L
         const val HANDOVER_MS = 100L
     }
