Do not trust a handed-back job that was sent to its owner twice

The reply to the first arrived last, and the job went to a third owner as one of which nothing had been started. Now the instance withdraws the job and counts all tasks as possibly started if it has sent the number twice. An owner no longer hands a job back at once because the first message came with an old time; the submitter gets as long to renew it as any other. EntryServiceTest fails without the change.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -87,6 +87,9 @@
 
     /** Time at which an instance in [origins] has certainly still waited for the job. */
     var renewedAtMs = NEVER_MS
+
+    /** Time at which it was last submitted here. */
+    var submittedAtMs = NEVER_MS
     val tasks: List<List<TaskRow>> = request.steps.mapIndexed { stepNumber, step ->
         List(step.taskCount) { TaskRow(this, TaskKey(request.id, stepNumber, it), step) }
     }
@@ -129,8 +132,9 @@
     var ended = false
 
     /** [origin] waits for the job, as of [renewedAtMs]. */
-    fun addOrigin(origin: JobOrigin, renewedAtMs: Long) {
+    fun addOrigin(origin: JobOrigin, renewedAtMs: Long, nowMs: Long) {
         origins += origin
+        submittedAtMs = nowMs
         this.renewedAtMs = maxOf(this.renewedAtMs, renewedAtMs)
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -135,7 +135,7 @@
         if (request.id in tables.cancelledJobs) return actions.jobEnded(origin, request.id, JobResult.Cancelled)
         val open = tables.jobs[request.id]
         if (open != null) {
-            open.addOrigin(origin, nowMs - renewedMsAgo)
+            open.addOrigin(origin, nowMs - renewedMsAgo, nowMs)
             log.event("dispatch", "job-joined", "job", request.id, "origin", origin.instance)
             return
         }
@@ -145,7 +145,7 @@
             is AdmissionDecision.Refused -> return refuse(request, origin, decision.result, nowMs)
             is AdmissionDecision.Admitted -> decision.job
         }
-        job.addOrigin(origin, nowMs - renewedMsAgo)
+        job.addOrigin(origin, nowMs - renewedMsAgo, nowMs)
         crashes.assignHistories(job)
         tables.jobs[request.id] = job
         job.highestPriorRun = job.allTasks().maxOfOrNull { tables.runs.highestRun(it.key) } ?: 0
@@ -246,7 +246,9 @@
      */
     public fun withdrawUnrenewed(): List<Triple<JobOrigin, JobId, JobProgress>> {
         val nowMs = nowMs()
-        return tables.jobs.values.filter { nowMs >= limits.limitMs(it) }.flatMap { job ->
+        val unrenewed = tables.jobs.values
+            .filter { nowMs >= limits.limitMs(it) && nowMs >= it.submittedAtMs + settings.renewedLeaseMs }
+        return unrenewed.flatMap { job ->
             val progress = tables.progressOf(job, nowMs())
             job.origins.toList().map { origin ->
                 cancel(job.request.id, origin, "not renewed for ${nowMs - job.renewedAtMs} ms")
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -54,6 +54,9 @@
          */
         var number = 0L
 
+        /** Whether it was sent again with the same number, so that a reply may be to either message. */
+        var isRepeated = false
+
         /** Whether tasks may have been started after an earlier submission of the job that was not refused. */
         var mayHaveRun = false
 
@@ -143,6 +146,7 @@
         if (request.owner != owner) {
             pendingByNumber.remove(request.number)
             request.number = nextNumber++
+            request.isRepeated = false
             pendingByNumber[request.number] = request
         }
         request.owner = owner
@@ -196,7 +200,9 @@
             "entry", "job-moved", "request", request.requestId, "job", request.job.id,
             "from", request.owner, "done", progress.done.size,
         )
-        request.progress = progress
+        // The owner may have accepted the job since, if it has received it twice.
+        if (request.isRepeated) request.owner?.let { withdraw(request, it) }
+        request.progress = if (request.isRepeated) progress.copy(ordered = null) else progress
         request.owner = null
         reroute(request)
     }
@@ -225,6 +231,7 @@
         val incarnation = ownerClient.incarnationOrNull(owner)
         for (request in pending.values.filter { it.owner == owner }) {
             if (incarnation == null || request.ownerIncarnation != incarnation) request.mayHaveRun = true
+            request.isRepeated = true
             send(request, owner)
             request.mayHaveRun = true
         }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -142,6 +142,23 @@
         sent.last().second.progress shouldBe progress
     }
 
+    /**
+     * Guards against two runs of a task. An owner refused the first of two messages with a job, accepted the second, and
+     * its reply to the first arrived last.
+     */
+    @Test
+    fun `a job that was sent twice to an owner which hands it back may have runs of any task there`() {
+        submit()
+        entry.onReconnected("a")
+        val (number, job) = sent.last().second.let { it.number to it.job.id }
+        owners.clear()
+        owners += "b"
+        entry.onMoved(number, job, JobProgress(ordered = emptyList()))
+        sent.last().first shouldBe "b"
+        sent.last().second.progress shouldBe JobProgress()
+        cancelled shouldContainExactly listOf("a" to number)
+    }
+
     @Test
     fun `a job whose owner is lost is resubmitted with unknown progress`() {
         submit()
