Keep waiting for unknown runs when one of them is found

The second owner found one of its runs, adopted it, and took this as proof that no other run existed. When the run ended, both owners started the task again. A found run does not show that its owner has given the task up, so the time until which unknown runs may be active stays in force.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
@@ -52,18 +52,16 @@
         row.lease.otherOwnerEndMs = maxOf(row.lease.otherOwnerEndMs, untilMs)
     }
 
-    /** A run of [task] may be active on an unknown backend server until [untilMs]. */
+    /**
+     * A run of [task] may be active on an unknown backend server until [untilMs], also if another one is found meanwhile:
+     * a previous owner that has not been told of its replacement starts the task again when that one ends.
+     */
     fun recordUnplaced(task: TaskKey, untilMs: Long) {
         val known = runsByTask[task]?.find { it.lease == null }
         val active = known ?: ActiveRun(task, run = 0, lease = null, incarnation = 0, listedFromMs = 0).also(::add)
         active.endsByMs = if (known == null) untilMs else maxOf(known.endsByMs, untilMs)
     }
 
-    /** A run of [task] that a previous owner started was found, so there is none on another backend server. */
-    fun removeUnplaced(task: TaskKey) {
-        runsByTask[task]?.filter { it.lease == null }?.forEach(::remove)
-    }
-
     /** The backend server has rejected the start of the run. */
     fun recordRejected(task: TaskKey, run: Int, row: BackendRow) {
         row.lease.find(task, run)?.let(::remove)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -121,8 +121,7 @@
     private fun onRunEnd(row: BackendRow, end: RunEnd, nowMs: Long) {
         if (end.number <= row.acknowledgedEnd) return
         tables.runs.recordEnded(end.task, end.run, row)
-        // A run that was active under this owner's token is the only one.
-        if (row.unknownRuns.remove(end.task) != null) tables.runs.removeUnplaced(end.task)
+        row.unknownRuns.remove(end.task)
         val task = row.tasks[end.task]
         if (task == null || task.run != end.run) {
             onUnknownRunEnd(row, end, nowMs)
@@ -254,7 +253,6 @@
         val isOpen = task.state == TaskState.QUEUED || task.state == TaskState.BLOCKED
         if (!isOpen || found.stopSentAtMs != NEVER_MS || found.missingSinceMs != NEVER_MS) return
         if (task.key in row.tasks) return
-        tables.runs.removeUnplaced(task.key)
         row.unknownRuns.remove(task.key)
         if (task.state == TaskState.QUEUED) task.job.queuedTasks--
         row.reserve(task)
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -187,9 +187,13 @@
             }
 
             is PeerMessage.Submit -> onSubmit(peer, message)
+
             is PeerMessage.Cancel -> dispatcher.cancel(message.job, JobOrigin(peer, message.number), "caller left")
+
             is PeerMessage.OpenRequests -> dispatcher.retainRequests(peer, message.numbers.toSet())
+
             is PeerMessage.ActiveRuns -> dispatcher.learnActiveRuns(message.tasks)
+
             else -> Unit
         }
     }
@@ -199,7 +203,9 @@
         val recorded = results.find(origin, message.job.id)
         when {
             recorded != null -> send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
+
             tokens.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
+
             else -> dispatcher.submit(
                 message.job,
                 origin,
