--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
@@ -53,8 +53,8 @@
     }
 
     /**
-     * A run of [task] may be active on an unknown backend server until [untilMs], also if another one is found meanwhile:
-     * a previous owner that has not been told of its replacement starts the task again when that one ends.
+     * A run of [task] may be active on an unknown backend server until [untilMs], also if another one is found
+     * meanwhile: a previous owner that has not been told of its replacement starts the task again when that one ends.
      */
     fun recordUnplaced(task: TaskKey, untilMs: Long) {
         val known = runsByTask[task]?.find { it.lease == null }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -143,8 +143,8 @@
     }
 
     /**
-     * Guards against two runs of a task. An owner refused the first of two messages with a job, accepted the second, and
-     * its reply to the first arrived last.
+     * Guards against two runs of a task. An owner handed the first of two messages with a job back, accepted the
+     * second, and its reply to the first arrived last.
      */
     @Test
     fun `a job that was sent twice to an owner which hands it back may have runs of any task there`() {
