Test the times and renewals in heartbeats

The ages that limit leases come from these messages: an owner reads its own time from them, no other process does, and a heartbeat that comes after a long pause is answered at once.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -36,7 +38,9 @@
 
         override fun heartbeat(): PeerMessage.Heartbeat = heartbeat
 
-        override fun openRequests(): Map<String, List<Long>> = emptyMap()
+        var openRequests = emptyMap<String, List<Long>>()
+
+        override fun openRequests(): Map<String, List<Long>> = openRequests
 
         override fun partners(): Set<String> = partners
 
@@ -103,6 +107,36 @@
         b.heartbeatsFrom(a) - before shouldBeInRange 10..11
     }
 
+    /** Guards against leases that are extended for an instance whose messages are late or which has heard nothing. */
+    @Test
+    fun `a renewal tells the owner since when the instance may have moved its requests`() {
+        val a = Peer("a", 1)
+        val b = Peer("b", 2)
+        connect(a, b)
+        b.openRequests = mapOf("a" to listOf(7L))
+        advance(ticks = 4, a, b)
+        val renewal = onLoop { a.received.map { it.second } }
+            .filterIsInstance<PeerMessage.Heartbeat>().last().renewal.shouldNotBeNull()
+        renewal.requests shouldBe listOf(7L)
+        val ageMs = onLoop { a.network.ageMsOrNull(renewal.heardAtMs) }.shouldNotBeNull()
+        ageMs.toInt() shouldBeInRange 0..200
+        onLoop { b.network.ageMsOrNull(renewal.heardAtMs) }.shouldBeNull()
+        onLoop { clock += 500.milliseconds }
+        onLoop { a.network.ageMsOrNull(renewal.heardAtMs) } shouldBe ageMs + 500
+    }
+
+    /** Guards against a job that a distant owner starts only with the next renewal that is due. */
+    @Test
+    fun `a heartbeat after a long pause is answered at once with a renewal`() {
+        val a = Peer("a", 1)
+        val b = Peer("b", 2)
+        connect(a, b)
+        b.openRequests = mapOf("a" to listOf(7L))
+        onLoop { clock += 1_000.milliseconds }
+        onLoop { a.network.sendHeartbeatNow("b") }
+        await { a.received.any { (it.second as? PeerMessage.Heartbeat)?.renewal != null } }
+    }
+
     /**
      * Guards against followers that send as many heartbeats as owners. Most instances of a large deployment are
      * followers: they own nothing.
