Count the crashes of backend servers that are no longer listed

Cause: a crash was recorded when a lease lapsed, when a connection was refused, or when a listed backend server turned out to be another process. If the list lacked a silent backend server before its lease lapsed, its row was dropped with nothing recorded; what came back under its id was a new row without a past.

And a loss that another instance reports of a process that this owner reaches all the while was never refuted.

Now a silent row that is unlisted, released or handed over is a possible crash at once. A row that was reachable may have been taken away and counts only if another process is found in its place, for as long as histories are kept. A crash has the address of the process, so that a successor under another id proves it at any owner. The next report refutes what others have reported. Joint losses count rows that were unlisted, too, as they did when listed.

The property test handed over also where the owner was to die, which now publishes what a dead owner would not; it does so for planned changes only, which is stricter.

Ruled out: a lapsed lease alone; with the same id it was proved before, since the possible crash was recorded at the lapse.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendInfo.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendInfo.kt
@@ -27,4 +27,6 @@
     /** Whether [other] describes the same process; an unknown incarnation of [other] matches any. */
     public fun isSameProcess(other: BackendInfo): Boolean =
         host == other.host && port == other.port && (incarnation == other.incarnation || other.incarnation == 0L)
+
+    internal val address: String get() = "$host:$port"
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -8,7 +8,8 @@
  * A crash counts for each task whose run may have been active. It shows by a refused connection or by another process
  * under the same id or address. Silence alone is no evidence, since a partition or a pause looks the same, but the task
  * waits if it might have crashed as many backend servers as are allowed. A backend server that was about to leave does
- * not count. A crash is refuted if the process is reached again.
+ * not count. A crash is refuted if the process is reached again. All of this holds as well if the backend server is
+ * no longer listed when its process is lost, or when another one is found in its place.
  *
  * A task on a lost backend server runs alone from then on (see [IsolationSystem]), unless many were lost together, so a
  * second crash tells it from those that only ran beside it.
@@ -19,6 +20,14 @@
     private val actions: DispatchActions,
     private val log: EventLog,
 ) {
+    /** Backend servers that are no longer listed, of which another process may be found. */
+    private val unlisted = ArrayList<UnlistedBackend>()
+
+    /** Listed backend servers that other instances have found silent. */
+    private val doubted = HashSet<String>()
+
+    private class UnlistedBackend(val row: BackendRow, val sinceMs: Long)
+
     /** The process of [row] seems to have ended. */
     fun recordCrash(row: BackendRow, evidence: CrashEvidence, nowMs: Long) {
         record(row, row.tasks.values + row.lapsedTasks, evidence, nowMs)
@@ -33,7 +42,7 @@
         }
         val wasAlone = tasks.size == 1 && row.unknownRuns.isEmpty()
         val isProven = evidence != CrashEvidence.SILENT
-        val crash = BackendCrash(row.info.id, row.info.incarnation, wasAlone, isJoint = false, isProven)
+        val crash = crashOf(row, wasAlone, isJoint = false, isProven)
         val changed = tasks.mapNotNull { merge(TaskHistory(it.key, crashes = listOf(crash)), nowMs) }
         for (history in changed) {
             log.event(
@@ -46,6 +55,31 @@
         publish(changed)
     }
 
+    private fun crashOf(row: BackendRow, wasAlone: Boolean, isJoint: Boolean, isProven: Boolean) = BackendCrash(
+        row.info.id,
+        row.info.incarnation,
+        wasAlone,
+        isJoint,
+        isProven,
+        address = row.info.address,
+    )
+
+    /**
+     * Called before the tasks of [row] start elsewhere since it is no longer listed or controlled by this instance. One
+     * that was reachable until then may have been taken away, which is no crash unless another process is found there.
+     */
+    fun onUnlisted(row: BackendRow, nowMs: Long) {
+        unlisted.removeIf { nowMs - it.sinceMs > settings.historyRetentionMs }
+        unlisted += UnlistedBackend(row, nowMs)
+        if (row.isUnreachable) reviewLoss(row, nowMs)
+        row.lapsedTasks += row.tasks.values
+    }
+
+    /** Runs on the backend servers of [failureDomain] may have ended under the next owner before their processes do. */
+    fun onReleased(failureDomain: String) {
+        unlisted.removeIf { it.row.info.failureDomain == failureDomain }
+    }
+
     /**
      * Called before the tasks of [row] start elsewhere or are given up. If many other backend servers were lost at the
      * same time, the tasks are not the likely cause.
@@ -54,8 +88,7 @@
         if (!row.isRefusing) record(row, row.tasks.values.toList(), CrashEvidence.SILENT, nowMs)
         val lost = lostTogetherWith(row)
         if (!isJointLoss(row, lost)) return
-        val crash =
-            BackendCrash(row.info.id, row.info.incarnation, wasAlone = false, isJoint = true, isProven = false)
+        val crash = crashOf(row, wasAlone = false, isJoint = true, isProven = false)
         val suspects = row.tasks.keys.filter { tables.histories.find(it) != null }
         val cleared = suspects.mapNotNull { merge(TaskHistory(it, crashes = listOf(crash)), nowMs) }
         if (cleared.isEmpty()) return
@@ -65,22 +98,23 @@
 
     private fun lostTogetherWith(row: BackendRow): List<BackendRow> {
         val withinMs = if (row.isRefusing) JOINT_LOSS_MS else JOINT_SILENCE_MS
-        return tables.backends.values.filter {
+        return (tables.backends.values + unlisted.map { it.row }).distinct().filter {
             it.isUnreachable && abs(it.unreachableSinceMs - row.unreachableSinceMs) <= withinMs
         }
     }
 
     private fun isJointLoss(row: BackendRow, lost: List<BackendRow>): Boolean {
         if (lost.size < MIN_JOINT_LOSS) return false
-        return lost.size >= tables.backends.size * JOINT_LOSS_SHARE || isRackLost(row, lost)
+        val all = tables.backends.values.toSet() + lost
+        return lost.size >= all.size * JOINT_LOSS_SHARE || isRackLost(row, lost, all)
     }
 
-    private fun isRackLost(row: BackendRow, lost: List<BackendRow>): Boolean {
+    private fun isRackLost(row: BackendRow, lost: List<BackendRow>, all: Set<BackendRow>): Boolean {
         val rack = row.info.rack ?: return false
         fun isNeighbour(other: BackendRow) =
             other.info.rack == rack && other.info.failureDomain == row.info.failureDomain
         val lostInRack = lost.count(::isNeighbour)
-        return lostInRack >= MIN_JOINT_LOSS && lostInRack * 2 >= tables.backends.values.count(::isNeighbour)
+        return lostInRack >= MIN_JOINT_LOSS && lostInRack * 2 >= all.count(::isNeighbour)
     }
 
     /** Results of the jobs on [row] of which a task is given up. The crash must be certain by now. */
@@ -89,12 +123,17 @@
             .mapNotNull { task -> resultOrNull(task)?.let { task.job to it } }
             .toMap()
 
-    /** The process of [row] has answered: it has not crashed, but earlier ones under its id have. */
+    /** The process of [row] has answered: it has not crashed, but earlier ones under its id or address have. */
     fun onReached(row: BackendRow, nowMs: Long) {
+        val former = unlisted.map { it.row }.filter { isSamePlace(row, it.info.id, it.info.address) }
+        unlisted.removeIf { it.row in former }
+        former.filter { it.info.incarnation != row.info.incarnation }
+            .forEach { recordCrash(it, CrashEvidence.REPLACED, nowMs) }
         proveLosses(row, nowMs) { it.incarnation != row.info.incarnation }
         val refuted = tables.histories.all.mapNotNull { history ->
             val crash = history.possibleCrashes
-                .find { it.backend == row.info.id && it.incarnation == row.info.incarnation } ?: return@mapNotNull null
+                .find { isSamePlace(row, it.backend, it.address) && it.incarnation == row.info.incarnation }
+                ?: return@mapNotNull null
             merge(TaskHistory(history.task, crashes = listOf(crash.copy(isRefuted = true))), nowMs)
         }
         for (history in refuted) {
@@ -106,10 +145,19 @@
         publish(refuted)
     }
 
+    /** The process of [row] has answered, as it did before. */
+    fun onReport(row: BackendRow, nowMs: Long) {
+        if (doubted.remove(row.info.id)) onReached(row, nowMs)
+    }
+
+    private fun isSamePlace(row: BackendRow, backend: String, address: String) =
+        backend == row.info.id || address == row.info.address
+
     /** The processes of [row] that [isEnded] selects have ended, also those that other owners have only seen silent. */
     private fun proveLosses(row: BackendRow, nowMs: Long, isEnded: (BackendCrash) -> Boolean) {
         val proven = tables.histories.all.mapNotNull { history ->
-            val ended = history.possibleCrashes.filter { it.backend == row.info.id && !it.isProven && isEnded(it) }
+            val ended = history.possibleCrashes
+                .filter { isSamePlace(row, it.backend, it.address) && !it.isProven && isEnded(it) }
             if (ended.isEmpty()) return@mapNotNull null
             merge(TaskHistory(history.task, crashes = ended.map { it.copy(isProven = true) }), nowMs)
         }
@@ -131,7 +179,11 @@
     }
 
     /** Adds what another instance knows. */
-    fun mergeAll(histories: List<TaskHistory>, nowMs: Long) = histories.forEach { merge(it, nowMs) }
+    fun mergeAll(histories: List<TaskHistory>, nowMs: Long) {
+        val changed = histories.mapNotNull { merge(it, nowMs) }
+        changed.flatMap { it.possibleCrashes }.filter { !it.isProven && it.backend in tables.backends }
+            .mapTo(doubted) { it.backend }
+    }
 
     /** Gives the tasks of a new [job] their histories. */
     fun assignHistories(job: JobRow) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -106,6 +106,7 @@
             crashes.onReached(row, nowMs)
             row.lapsedTasks = emptyList()
         }
+        crashes.onReport(row, nowMs)
         row.unreachableSinceMs = NEVER_MS
         row.isRefusing = false
         row.isDisplaced = false
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -293,6 +293,8 @@
     /** Removes all jobs so that the next owner can continue them. Returns the progress of each. */
     public fun handOver(): List<Triple<JobOrigin, JobId, JobProgress>> {
         val moved = ArrayList<Triple<JobOrigin, JobId, JobProgress>>()
+        val nowMs = nowMs()
+        tables.backends.values.forEach { crashes.onUnlisted(it, nowMs) }
         for (job in tables.jobs.values) {
             val progress = progressOf(job)
             job.origins.forEach { moved += Triple(it, job.request.id, progress) }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -74,6 +74,7 @@
     fun onUnlisted(row: BackendRow, nowMs: Long, isReleased: Boolean) {
         if (mayBeReplaced(nowMs)) extendByOtherOwner(nowMs) { it === row.lease }
         logInterrupted(row, if (isReleased) "RELEASED" else "UNLISTED")
+        crashes.onUnlisted(row, nowMs)
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
@@ -81,8 +82,10 @@
      * The next owner of [failureDomain] may extend the leases of runs whose jobs it does not know until it stops them,
      * also on backend servers that were not listed here.
      */
-    fun onReleased(failureDomain: String, nowMs: Long) =
+    fun onReleased(failureDomain: String, nowMs: Long) {
+        crashes.onReleased(failureDomain)
         extendByOtherOwner(nowMs) { it.failureDomain == failureDomain }
+    }
 
     /** The lost instance may have become the owner of backend servers that are not listed here. */
     fun onInstanceLost(nowMs: Long) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
@@ -10,6 +10,8 @@
  * @property isJoint whether many backend servers were lost at the same moment, so that no task is the likely cause.
  * @property isProven whether the process has ended as far as is known. Otherwise it is only silent.
  * @property isRefuted whether the process was reached again.
+ * @property address where the process was reached, see [BackendInfo.address]. A process that replaces it may have
+ *   another id.
  */
 @Serializable
 public data class BackendCrash(
@@ -19,6 +21,7 @@
     public val isJoint: Boolean = false,
     public val isProven: Boolean = true,
     public val isRefuted: Boolean = false,
+    public val address: String = "",
 )
 
 /**
@@ -56,5 +59,6 @@
         isJoint = one.isJoint || other.isJoint,
         isProven = one.isProven || other.isProven,
         isRefuted = one.isRefuted || other.isRefuted,
+        address = maxOf(one.address, other.address),
     )
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskPropertyTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskPropertyTest.kt
@@ -73,8 +73,8 @@
     /** The owner dies or hands over; the next one has what the others were told. */
     private fun changeOwner(sim: SimulatedBackends, requests: List<JobRequest>, token: Long, random: Random) {
         val open = requests.filter { it.id !in sim.results }
-        val moved = sim.dispatcher.handOver().associate { it.second to it.third }
         val isPlanned = random.nextBoolean()
+        val moved = if (isPlanned) sim.dispatcher.handOver().associate { it.second to it.third } else emptyMap()
         sim.replaceOwner(token)
         if (!isPlanned) sim.dispatcher.learn(sim.published.values.toList())
         open.forEach { request ->
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/UnlistedCrashTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/UnlistedCrashTest.kt
@@ -62,4 +62,103 @@
             sim.shouldHaveGivenUp(maxStarts = 5)
         }
     }
+
+    /** Guards against forgetting a silent backend server when the owner loses the control of its failure domain. */
+    @Test
+    fun `the next owner knows of silent backend servers of a released failure domain`() {
+        val sim = simulation()
+        sim.run(untilMs = 200)
+        sim.dispatcher.release("d1")
+        sim.published.getValue(guilty).possibleCrashes.size shouldBe 1
+    }
+
+    /** Guards against a planned handover that drops the crashes of which the owner has seen the silence only. */
+    @Test
+    fun `the progress of a job that is handed over has its silent backend servers`() {
+        val sim = simulation()
+        sim.run(untilMs = 200)
+        val progress = sim.dispatcher.handOver().single().third
+        progress.histories.single().possibleCrashes.size shouldBe 1
+    }
+
+    /** Guards against counting the loss of runs on backend servers that the platform has taken away. */
+    @Test
+    fun `a task on backend servers that are taken away is not suspected`() {
+        val sim = innocentSimulation()
+        repeat(3) {
+            sim.run(sim.nowMs + 300)
+            sim.backends -= sim.backends.values.first { innocent in it.running }.info.id
+            sim.listAll()
+            sim.run(sim.nowMs + 1_500)
+        }
+        sim.shouldNotSuspect()
+    }
+
+    /** Guards against counting the restart of a backend server that was drained and unlisted before. */
+    @Test
+    fun `a task on backend servers that are drained and restarted is not suspected`() {
+        val sim = innocentSimulation()
+        repeat(3) {
+            sim.run(sim.nowMs + 300)
+            val drained = sim.backends.values.first { innocent in it.running }
+            val others = sim.backends.values.filter { it !== drained }.map { it.info }
+            sim.dispatcher.updateBackends(others + drained.info.copy(draining = true))
+            sim.run(sim.nowMs + 50)
+            drained.stopProcess()
+            sim.dispatcher.updateBackends(others)
+            sim.run(sim.nowMs + 1_500)
+        }
+        sim.shouldNotSuspect()
+    }
+
+    /** Guards against holding or giving up a task since its backend servers were cut off and unlisted for a while. */
+    @Test
+    fun `a task on backend servers that are listed again with the same process is not suspected`() {
+        val sim = innocentSimulation()
+        repeat(3) {
+            sim.run(sim.nowMs + 300)
+            val cut = sim.backends.values.first { innocent in it.running }
+            val noticed = "backend unreachable backend ${cut.info.id} "
+            cut.partitioned = true
+            while (sim.events.none { it.startsWith(noticed) }) sim.run(sim.nowMs + 1)
+            sim.dispatcher.updateBackends(sim.backends.values.filter { it !== cut }.map { it.info })
+            sim.dispatcher.histories.single().possibleCrashes.size shouldBe 1
+            sim.events.clear()
+            sim.run(sim.nowMs + 1_500)
+            cut.partitioned = false
+            sim.listAll()
+            sim.run(sim.nowMs + 100)
+        }
+        sim.shouldNotSuspect()
+    }
+
+    /** Guards against a suspicion that nothing refutes, since the owner reaches the process when it learns of it. */
+    @Test
+    fun `a silent loss that another instance reports is refuted by the next report of the process`() {
+        val sim = innocentSimulation()
+        sim.run(sim.nowMs + 300)
+        val lost = BackendCrash("b0", 1, wasAlone = true, isProven = false)
+        sim.dispatcher.learn(listOf(TaskHistory(innocent, crashes = listOf(lost))))
+        sim.run(sim.nowMs + 1_000)
+        sim.shouldNotSuspect()
+    }
+
+    private val innocent = TaskKey(JobId("innocent"), 0, 0)
+
+    private fun innocentSimulation() = SimulatedBackends().apply {
+        configure(SimulatedBackends.queue())
+        repeat(8) { add("b$it") }
+        takeOver()
+        isSilentWhenDown = true
+        workMs = { 2_000 }
+        run(untilMs = 100)
+        submit(job("innocent", tasks = 1, estimateMs = 2_000), timeoutMs = 60_000)
+    }
+
+    private fun SimulatedBackends.shouldNotSuspect() {
+        dispatcher.histories.flatMap { it.possibleCrashes } shouldBe emptyList()
+        run(nowMs + 5_000)
+        results[innocent.job] shouldBe JobResult.Complete
+        concurrentRuns.size shouldBe 0
+    }
 }
