Leave out backend servers that were reserved in the same pass

Callers of innocent tasks saw them lost beside a suspect, and the suspect itself took three crashes instead of two to be given up, as none counted as one of a task that ran alone.

Cause: the placement lists the usable backend servers once for each pass. If a suspect reserved and got one of them in the pass, tasks that came later in it were started there, too.

The check of a single backend server now rejects reserved ones, as it already does for probes that were started in the pass.

Ruled out: a reservation that is lost when the run is queued again.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -153,8 +153,8 @@
 
     private fun canRun(task: TaskRow, row: BackendRow): Boolean {
         val step = task.step
-        // A task that was placed earlier in this pass may have started the probe.
-        val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed
+        // A task that was placed earlier in this pass may have started the probe or have the backend server reserved.
+        val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed && row.reservedFor == null
         if (!isServing || !row.hasLabel(step.requiredLabel) || !step.demand.fitsInto(row.free)) return false
         // A run of an earlier attempt at the job uses its capacity until its end is listed.
         return task.key !in row.tasks && row !in task.failedOn && isBelowLimit(task, row)
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -201,6 +201,24 @@
         sim.startsByTask[guilty] shouldBe 2
     }
 
+    /** Guards against placing other tasks beside a suspect in the pass that has just reserved its backend server. */
+    @Test
+    fun `a suspect runs alone although other tasks wait at the same time`() {
+        val sim = simulation(backends = 2)
+        sim.workMs = { 200 }
+        val crash = BackendCrash("former", 1, wasAlone = false)
+        sim.dispatcher.learn(listOf(TaskHistory(guilty, crashes = listOf(crash))))
+        sim.backends.values.forEach { it.partitioned = true }
+        sim.run(sim.nowMs + 1_000)
+        val notStarted = JobProgress(ordered = emptyList())
+        sim.submit(sim.job("guilty", tasks = 1, cpuMillis = 1_000), progress = notStarted)
+        val others = List(3) { sim.job("other$it", tasks = 1, cpuMillis = 1_000, estimateMs = 200) }
+        others.forEach { sim.submit(it, progress = notStarted) }
+        sim.backends.values.first().partitioned = false
+        while ((sim.startsByTask[guilty] ?: 0) == 0) sim.run(sim.nowMs + 1)
+        sim.backends.values.first().running.keys shouldBe setOf(guilty)
+    }
+
     /** Guards against a backend server that stays reserved after the job of its suspect has ended. */
     @Test
     fun `a reservation ends with the job`() {
