Let a refutation concern the run that was lost, not the process

A history had one entry for each process, and a refutation is final, so a task that had been on a silent process could crash it later for free.

An entry now names the run that was lost as well. Runs on a process have rising numbers, so a later run gets a new entry, and repeating the old loss, as an owner does that is still cut off, does not undo its refutation. The losses of several runs with one process count as one crash. What lapsed is kept as run numbers, since the task itself may run elsewhere by then.

Ruled out: counting the refutations instead of naming the run. An owner that is cut off would record the loss anew after each refutation, without end.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -30,25 +30,27 @@
 
     /** The process of [row] seems to have ended. */
     fun recordCrash(row: BackendRow, evidence: CrashEvidence, nowMs: Long) {
-        record(row, row.tasks.values + row.lapsedTasks, evidence, nowMs)
+        record(row, row.lapsedRuns + row.runs, evidence, nowMs)
         if (evidence == CrashEvidence.REPLACED) proveLosses(row, nowMs) { it.incarnation == row.info.incarnation }
     }
 
-    private fun record(row: BackendRow, tasks: List<TaskRow>, evidence: CrashEvidence, nowMs: Long) {
-        if (tasks.isEmpty()) return
+    private fun record(row: BackendRow, runs: Map<TaskKey, Int>, evidence: CrashEvidence, nowMs: Long) {
+        if (runs.isEmpty()) return
         if (row.info.draining) {
-            log.event("backend", "crash-ignored", "backend", row.info.id, "reason", "draining", "tasks", tasks.size)
+            log.event("backend", "crash-ignored", "backend", row.info.id, "reason", "draining", "tasks", runs.size)
             return
         }
-        val wasAlone = tasks.size == 1 && row.unknownRuns.isEmpty()
+        val wasAlone = runs.size == 1 && row.unknownRuns.isEmpty()
         val isProven = evidence != CrashEvidence.SILENT
         val crash = crashOf(row, wasAlone, isJoint = false, isProven)
-        val changed = tasks.mapNotNull { merge(TaskHistory(it.key, crashes = listOf(crash)), nowMs) }
+        val changed = runs.mapNotNull { (task, run) ->
+            merge(TaskHistory(task, crashes = listOf(crash.copy(run = run))), nowMs)
+        }
         for (history in changed) {
             log.event(
                 "dispatch", "task-suspected", "job", history.task.job, "task", history.task,
                 "backend", row.info.id, "incarnation", row.info.incarnation, "evidence", evidence,
-                "beside", tasks.size - 1, "crashes", history.provenCrashes.size,
+                "beside", runs.size - 1, "crashes", history.provenCrashes.size,
                 "possible", history.possibleCrashes.size,
             )
         }
@@ -72,7 +74,7 @@
         unlisted.removeIf { nowMs - it.sinceMs > settings.historyRetentionMs }
         unlisted += UnlistedBackend(row, nowMs)
         if (row.isUnreachable) reviewLoss(row, nowMs)
-        row.lapsedTasks += row.tasks.values
+        row.lapsedRuns += row.runs
     }
 
     /** Runs on the backend servers of [failureDomain] may have ended under the next owner before their processes do. */
@@ -85,12 +87,13 @@
      * same time, the tasks are not the likely cause.
      */
     fun reviewLoss(row: BackendRow, nowMs: Long) {
-        if (!row.isRefusing) record(row, row.tasks.values.toList(), CrashEvidence.SILENT, nowMs)
+        if (!row.isRefusing) record(row, row.runs, CrashEvidence.SILENT, nowMs)
         val lost = lostTogetherWith(row)
         if (!isJointLoss(row, lost)) return
         val crash = crashOf(row, wasAlone = false, isJoint = true, isProven = false)
-        val suspects = row.tasks.keys.filter { tables.histories.find(it) != null }
-        val cleared = suspects.mapNotNull { merge(TaskHistory(it, crashes = listOf(crash)), nowMs) }
+        val cleared = row.runs.filterKeys { tables.histories.find(it) != null }.mapNotNull { (task, run) ->
+            merge(TaskHistory(task, crashes = listOf(crash.copy(run = run))), nowMs)
+        }
         if (cleared.isEmpty()) return
         log.event("backend", "joint-loss", "backend", row.info.id, "rack", row.info.rack, "lost", lost.size)
         publish(cleared)
@@ -131,10 +134,11 @@
             .forEach { recordCrash(it, CrashEvidence.REPLACED, nowMs) }
         proveLosses(row, nowMs) { it.incarnation != row.info.incarnation }
         val refuted = tables.histories.all.mapNotNull { history ->
-            val crash = history.possibleCrashes
-                .find { isSamePlace(row, it.backend, it.address) && it.incarnation == row.info.incarnation }
-                ?: return@mapNotNull null
-            merge(TaskHistory(history.task, crashes = listOf(crash.copy(isRefuted = true))), nowMs)
+            val losses = history.crashes.filter {
+                !it.isRefuted && isSamePlace(row, it.backend, it.address) && it.incarnation == row.info.incarnation
+            }
+            if (losses.isEmpty()) return@mapNotNull null
+            merge(TaskHistory(history.task, crashes = losses.map { it.copy(isRefuted = true) }), nowMs)
         }
         for (history in refuted) {
             log.event(
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -104,7 +104,7 @@
             log.event("backend", "reached", "backend", row.info.id, "runs", report.running.size)
             row.reachedAtMs = nowMs
             crashes.onReached(row, nowMs)
-            row.lapsedTasks = emptyList()
+            row.lapsedRuns = emptyMap()
         }
         crashes.onReport(row, nowMs)
         row.unreachableSinceMs = NEVER_MS
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -194,8 +194,11 @@
     /** Task that runs, or will run, without others on the backend server. */
     var reservedFor: TaskRow? = null
 
-    /** Tasks whose leases have expired while the backend server was silent. It may turn out to have crashed. */
-    var lapsedTasks: List<TaskRow> = emptyList()
+    /** Runs whose leases have expired while the backend server was silent. It may turn out to have crashed. */
+    var lapsedRuns: Map<TaskKey, Int> = emptyMap()
+
+    /** Numbers of the runs of [tasks]. */
+    val runs: Map<TaskKey, Int> get() = tasks.mapValues { it.value.run }
 
     /** Estimated speed; run times are inversely proportional to it. */
     var speed = 1.0
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -55,7 +55,7 @@
         logInterrupted(row, "REPLACED")
         if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
         crashes.recordCrash(row, CrashEvidence.REPLACED, nowMs)
-        row.lapsedTasks = emptyList()
+        row.lapsedRuns = emptyMap()
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
         row.unknownRuns.clear()
         row.unclaimedCompletions.clear()
@@ -118,7 +118,7 @@
         log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
         logInterrupted(row, if (row.isRefusing) "REFUSED" else "SILENT")
         crashes.reviewLoss(row, nowMs)
-        if (!row.isRefusing) row.lapsedTasks += row.tasks.values
+        if (!row.isRefusing) row.lapsedRuns += row.runs
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
@@ -12,6 +12,7 @@
  * @property isRefuted whether the process was reached again.
  * @property address where the process was reached, see [BackendInfo.address]. A process that replaces it may have
  *   another id.
+ * @property run the run that was lost. Once that is refuted, a later run may still be lost with the same process.
  */
 @Serializable
 public data class BackendCrash(
@@ -22,6 +23,7 @@
     public val isProven: Boolean = true,
     public val isRefuted: Boolean = false,
     public val address: String = "",
+    public val run: Int = 0,
 )
 
 /**
@@ -36,8 +38,11 @@
     public val failures: Int = 0,
     public val crashes: List<BackendCrash> = emptyList(),
 ) {
-    /** Losses that are not refuted, so that each may have been a crash. */
-    public val possibleCrashes: List<BackendCrash> get() = crashes.filterNot { it.isRefuted }
+    /** Losses that are not refuted, so that each may have been a crash; one for each process. */
+    public val possibleCrashes: List<BackendCrash>
+        get() = crashes.filterNot { it.isRefuted }
+            .groupBy { it.backend to it.incarnation }
+            .map { (_, same) -> same.reduce(::combine) }
 
     /** Crashes of which there is evidence. */
     public val provenCrashes: List<BackendCrash> get() = possibleCrashes.filter { it.isProven }
@@ -48,9 +53,9 @@
      */
     public fun merge(other: TaskHistory): TaskHistory {
         val merged = (crashes + other.crashes)
-            .groupBy { it.backend to it.incarnation }
+            .groupBy { Triple(it.backend, it.incarnation, it.run) }
             .map { (_, same) -> same.reduce(::combine) }
-            .sortedWith(compareBy({ it.backend }, { it.incarnation }))
+            .sortedWith(compareBy({ it.backend }, { it.incarnation }, { it.run }))
         return TaskHistory(task, maxOf(failures, other.failures), merged)
     }
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -201,6 +201,18 @@
         sim.startsByTask[guilty] shouldBe 2
     }
 
+    /** Guards against a refuted loss that hides a later crash of the same process, as in the property test (964953). */
+    @Test
+    fun `a crash counts although an earlier loss of the same process was refuted`() {
+        val sim = simulation(backends = 1)
+        val refuted = BackendCrash("b0", 1, wasAlone = true, isProven = false, isRefuted = true)
+        sim.dispatcher.learn(listOf(TaskHistory(guilty, crashes = listOf(refuted))))
+        sim.submit(sim.job("guilty", tasks = 1), timeoutMs = 60_000)
+        sim.run(untilMs = 20_000)
+        sim.startsByTask[guilty] shouldBe 2
+        sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
+    }
+
     /** Guards against placing other tasks beside a suspect in the pass that has just reserved its backend server. */
     @Test
     fun `a suspect runs alone although other tasks wait at the same time`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/TaskHistoryTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/TaskHistoryTest.kt
@@ -19,8 +19,11 @@
     private val crashes = Arb.bind(
         Arb.element("b0", "b1", "b2"),
         Arb.long(1L..2L),
+        Arb.int(1..2),
         Arb.list(Arb.boolean(), 4..4),
-    ) { backend, incarnation, flags -> BackendCrash(backend, incarnation, flags[0], flags[1], flags[2], flags[3]) }
+    ) { backend, incarnation, run, flags ->
+        BackendCrash(backend, incarnation, flags[0], flags[1], flags[2], flags[3], run = run)
+    }
 
     /** Histories as instances have them: with one entry for each process. */
     private val histories = Arb.bind(Arb.int(0..3), Arb.list(crashes, 0..4)) { failures, list -> failures to list }
@@ -45,6 +48,15 @@
         refuted.merge(TaskHistory(task, crashes = listOf(crash))).possibleCrashes shouldBe emptyList()
     }
 
+    /** Guards against counting a process twice, of which two instances have seen the loss of different runs. */
+    @Test
+    fun `losses of several runs with one process are one crash`() {
+        val silent = BackendCrash("b0", 1, wasAlone = true, isProven = false, run = 1)
+        val history = TaskHistory(task, crashes = listOf(silent, silent.copy(isProven = true, run = 2)))
+        history.possibleCrashes.size shouldBe 1
+        history.provenCrashes.size shouldBe 1
+    }
+
     /** Guards against memory that grows with the number of crashed jobs, and against forgetting the open ones. */
     @Test
     fun `histories are dropped after their retention unless the job is open`() {
