Test that the loss of a rack counts as one when it is unlisted

Without the rows that are no longer listed among those that were lost together, the new test fails: two losses of racks are two crashes of a task that ran alone there, for which it would be given up.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/UnlistedCrashTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/UnlistedCrashTest.kt
@@ -143,16 +143,33 @@
         sim.shouldNotSuspect()
     }
 
+    /** Guards against blaming a task that ran alone when its rack lost power and was unlisted soon. */
+    @Test
+    fun `the loss of a rack that is unlisted is no crash of a task that ran alone there`() {
+        val sim = innocentSimulation(backends = 9)
+        repeat(2) {
+            sim.run(sim.nowMs + 300)
+            val rack = sim.backends.values.first { innocent in it.running }.info.rack
+            sim.backends.values.filter { it.info.rack == rack }.forEach { it.stopProcess() }
+            sim.run(sim.nowMs + 300)
+            sim.dispatcher.updateBackends(sim.backends.values.filter { it.info.rack != rack }.map { it.info })
+            sim.run(sim.nowMs + 4_000)
+        }
+        sim.dispatcher.histories.single().provenCrashes.map { it.isJoint } shouldBe listOf(true, true)
+        sim.run(sim.nowMs + 5_000)
+        sim.results[innocent.job] shouldBe JobResult.Complete
+    }
+
     private val innocent = TaskKey(JobId("innocent"), 0, 0)
 
-    private fun innocentSimulation() = SimulatedBackends().apply {
+    private fun innocentSimulation(backends: Int = 8) = SimulatedBackends().apply {
         configure(SimulatedBackends.queue())
-        repeat(8) { add("b$it") }
+        repeat(backends) { add("b$it", rack = "r${it / 3}") }
         takeOver()
         isSilentWhenDown = true
-        workMs = { 2_000 }
+        workMs = { 4_000 }
         run(untilMs = 100)
-        submit(job("innocent", tasks = 1, estimateMs = 2_000), timeoutMs = 60_000)
+        submit(job("innocent", tasks = 1, estimateMs = 4_000), timeoutMs = 60_000)
     }
 
     private fun SimulatedBackends.shouldNotSuspect() {
