--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -55,7 +55,7 @@
         logInterrupted(row, "REPLACED")
         if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
         crashes.recordCrash(row, CrashEvidence.REPLACED, nowMs)
-        row.lapsedTasks = emptyList()
+        row.lapsedRuns = emptyMap()
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
         row.unknownRuns.clear()
         row.unclaimedCompletions.clear()
@@ -74,6 +74,7 @@
     fun onUnlisted(row: BackendRow, nowMs: Long, isReleased: Boolean) {
         if (mayBeReplaced(nowMs)) extendByOtherOwner(nowMs) { it === row.lease }
         logInterrupted(row, if (isReleased) "RELEASED" else "UNLISTED")
+        crashes.onUnlisted(row, nowMs)
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
@@ -81,8 +82,10 @@
      * The next owner of [failureDomain] may extend the leases of runs whose jobs it does not know until it stops them,
      * also on backend servers that were not listed here.
      */
-    fun onReleased(failureDomain: String, nowMs: Long) =
+    fun onReleased(failureDomain: String, nowMs: Long) {
+        crashes.onReleased(failureDomain)
         extendByOtherOwner(nowMs) { it.failureDomain == failureDomain }
+    }
 
     /** The lost instance may have become the owner of backend servers that are not listed here. */
     fun onInstanceLost(nowMs: Long) {
@@ -115,7 +118,7 @@
         log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
         logInterrupted(row, if (row.isRefusing) "REFUSED" else "SILENT")
         crashes.reviewLoss(row, nowMs)
-        if (!row.isRefusing) row.lapsedTasks += row.tasks.values
+        if (!row.isRefusing) row.lapsedRuns += row.runs
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
