Reset connections of silent peers that are closed already

The rest of the tick was skipped and the other connections of the silent peer were never reset, so what was sent on them could arrive after a partition. The new test fails without the check.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -271,16 +271,7 @@
             "heardMsAgo", if (peer.receivedAtMs == NEVER_MS) null else nowMs - peer.receivedAtMs,
         )
         peer.state = state
-        if (state != PeerState.ALIVE) peer.channels.toList().forEach(::reset)
-    }
-
-    /**
-     * Closes a connection to a lost peer and discards what was sent on it. Otherwise jobs that have meanwhile been sent
-     * to another owner would be delivered, and started again, when a partition ends.
-     */
-    private fun reset(channel: Channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0)
-        channel.close()
+        if (state != PeerState.ALIVE) peer.channels.toList().forEach(::resetConnection)
     }
 
     private fun needsDial(peer: Peer, nowMs: Long): Boolean {
@@ -444,3 +435,14 @@
         }
     }
 }
+
+/**
+ * Closes a connection to a lost peer and discards what was sent on it. Otherwise jobs that have meanwhile been sent to
+ * another owner would be delivered, and started again, when a partition ends. Does nothing if it is closed already.
+ */
+internal fun resetConnection(channel: Channel) {
+    // A closed connection stays among those of its peer until the event loop has reported its end.
+    if (!channel.isOpen) return
+    channel.config().setOption(ChannelOption.SO_LINGER, 0)
+    channel.close()
+}
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldBe
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioSocketChannel
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import java.net.ServerSocket
@@ -107,6 +108,16 @@
         b.heartbeatsFrom(a) - before shouldBeInRange 10..11
     }
 
+    /** Guards against a tick that fails, after which the other connections of a silent peer are not reset. */
+    @Test
+    fun `a connection that is closed already may be reset`() {
+        val channel = NioSocketChannel()
+        group.register(channel).get(WAIT_S, TimeUnit.SECONDS)
+        onLoop { channel.close() }
+        onLoop { resetConnection(channel) }
+        channel.isOpen shouldBe false
+    }
+
     /** Guards against leases that are extended for an instance whose messages are late or which has heard nothing. */
     @Test
     fun `a renewal tells the owner since when the instance may have moved its requests`() {
