Stop runs that are no longer renewed before those beside them lapse

Found by the review of the renewals, each shown by a run: after an owner's death, a one-way cut or one lost stop, healthy runs lapsed because the lease of their backend server was limited by a run beside them. An owner now withdraws a job after 0.6 s without a renewal in place of 0.95 s, repeats stops every 0.15 s in place of 0.5 s, and stops an unknown run 0.1 s before its lease is limited.

A start needs the granted lease to end before the limit of its job. Idle polls wait 0.4 s now, so a heartbeat interval is left.

Also from the review: a job that goes on for another instance is no longer reported as one of which nothing was started; a request of the owner's own callers counts as renewed since its last tick; the error of the estimated clocks is part of the time that the next owner waits (1.27 s in all).

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
@@ -45,8 +45,7 @@
     }
 
     /**
-     * The backend server lists a run that another owner has started, and whose lease that owner may have extended until
-     * [untilMs].
+     * Another owner may have granted a lease until [untilMs] to the runs of the backend server.
      */
     fun recordForeignLease(row: BackendRow, untilMs: Long) {
         row.lease.otherOwnerEndMs = maxOf(row.lease.otherOwnerEndMs, untilMs)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -309,7 +309,7 @@
         if (row.unknownRuns.isEmpty()) return emptyList()
         val due = row.unknownRuns.filter { (task, run) ->
             tables.jobs[task.job] == null && nowMs - run.firstReportedMs >= RESUBMISSION_MS &&
-                nowMs - run.announcedAtMs >= STOP_RETRY_MS
+                nowMs - run.announcedAtMs >= ANNOUNCE_INTERVAL_MS
         }
         due.values.forEach { it.announcedAtMs = nowMs }
         return due.keys.toList()
@@ -336,7 +336,12 @@
 
         /** A short pause suffices, since the next poll reports the runs that use the capacity. */
         const val NO_CAPACITY_PAUSE_MS = 30L
-        const val STOP_RETRY_MS = 500L
+
+        /** Several retries before the lease of the runs beside a run that is being stopped is limited. */
+        const val STOP_RETRY_MS = 150L
+
+        /** Interval of repeated messages on a run that remains. */
+        const val ANNOUNCE_INTERVAL_MS = 500L
 
         /** After a takeover, instances submit their open jobs within this time. */
         const val RESUBMISSION_MS = 100L
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -9,14 +9,18 @@
  *   next owner of the job, and a caller that sends it again, wait longer than this and [unknownLeaseMs] together.
  * @property unknownLeaseMs how long the lease of a run that is found after the death of the previous owner is extended
  *   until its job is submitted here.
+ * @property withdrawAfterMs time without a renewal after which a job is withdrawn, so that its runs are stopped before
+ *   the lease of the runs beside them is limited.
  * @property pollWaitMs how long a poll waits for a run to end.
  * @property idlePollWaitMs the same for a backend server without runs. The lease is longer by the difference to
- *   [pollWaitMs] and stays below [renewedLeaseMs], so that a task whose job was just renewed may start at any time.
+ *   [pollWaitMs]. It is shorter than [renewedLeaseMs] by a heartbeat interval, since a task does not start
+ *   where a lease beyond the limit of its job was granted.
  * @property pollTimeoutMs time beyond [pollWaitMs] after which a poll counts as lost: several round trips on a slow
  *   machine.
  * @property startValidityMs validity of a start command, so that commands which arrive seconds late are rejected.
  * @property unknownRunGraceMs how long a run that belongs to no job is left running. Gives the instance that holds the
- *   job time to resubmit it after the owner died.
+ *   job time to resubmit it after the owner died. A stop after that ends the run before [unknownLeaseMs] limits the
+ *   lease of the runs beside it.
  * @property unclaimedCompletionMs how long the completion of a run that belongs to no job is kept for a resubmission.
  * @property hangTimeoutMs time without progress after which a run counts as hung. It doubles each time that the task
  *   has hung.
@@ -39,12 +43,13 @@
 public data class DispatchSettings(
     val leaseMs: Long = 700,
     val renewedLeaseMs: Long = 950,
-    val unknownLeaseMs: Long = 150,
+    val unknownLeaseMs: Long = 200,
+    val withdrawAfterMs: Long = 600,
     val pollWaitMs: Long = 250,
-    val idlePollWaitMs: Long = 450,
+    val idlePollWaitMs: Long = 400,
     val pollTimeoutMs: Long = 150,
     val startValidityMs: Long = 200,
-    val unknownRunGraceMs: Long = 150,
+    val unknownRunGraceMs: Long = 100,
     val unclaimedCompletionMs: Long = 2_000,
     val hangTimeoutMs: Long = 450,
     val firstEjectionMs: Long = 1_500,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -85,7 +85,7 @@
 internal class JobRow(val request: JobRequest, val queue: QueueSettings, val arrivedAtMs: Long, val deadlineMs: Long) {
     val origins = LinkedHashSet<JobOrigin>(1)
 
-    /** Time at which an instance in [origins] has certainly still waited for the job. */
+    /** Latest time at which one of [origins] has certainly still waited for the job. */
     var renewedAtMs = NEVER_MS
 
     /** Time at which it was last submitted here. */
@@ -196,7 +196,7 @@
     /** How long the last poll may wait for a run to end. */
     var pollWaitMs = 0L
 
-    /** Whether the last poll did not extend the lease, or for too short a time for new starts. */
+    /** Whether the last poll extended the lease for too short a time for new starts, or not at all. */
     var isLeaseLimited = false
 
     /** Identifies the poll in flight, so that late responses of abandoned polls are ignored. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -215,7 +215,8 @@
     public fun onInstanceLost(instance: String): List<Triple<JobOrigin, JobId, JobProgress>> {
         losses.onInstanceLost(nowMs())
         return tables.jobsOf(instance).map { (job, origin) ->
-            val progress = tables.progressOf(job, nowMs())
+            val goesOn = job.origins.any { it.instance != instance }
+            val progress = tables.progressOf(job, nowMs()).let { if (goesOn) it.copy(ordered = null) else it }
             cancel(job.request.id, origin, "instance $instance is lost")
             Triple(origin, job.request.id, progress)
         }
@@ -241,13 +242,13 @@
     }
 
     /**
-     * Withdraws the jobs that no instance has renewed for so long that the leases of their runs end. Returns the
-     * progress of each, to be sent to the instances that may wait for it.
+     * Withdraws the jobs that no instance has renewed for [DispatchSettings.withdrawAfterMs]. Returns the progress of
+     * each, to be sent to the instances that may wait for it.
      */
     public fun withdrawUnrenewed(): List<Triple<JobOrigin, JobId, JobProgress>> {
         val nowMs = nowMs()
         val unrenewed = tables.jobs.values
-            .filter { nowMs >= limits.limitMs(it) && nowMs >= it.submittedAtMs + settings.renewedLeaseMs }
+            .filter { nowMs - maxOf(it.renewedAtMs, it.submittedAtMs) >= settings.withdrawAfterMs }
         return unrenewed.flatMap { job ->
             val progress = tables.progressOf(job, nowMs())
             job.origins.toList().map { origin ->
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -42,7 +42,7 @@
     private val withoutStore = HashSet<String>()
     private val listing = BackendListing(clock)
     private var leaving = false
-    private var renewedAtMs = 0L
+    private var lastTickAtMs = 0L
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
@@ -169,9 +169,9 @@
     /** Renews the jobs of this instance's own callers, and withdraws those that other instances no longer renew. */
     private fun renewJobs() {
         // What has arrived before the last tick has been read, also if the process was paused since.
-        val lastTickAtMs = renewedAtMs
-        renewedAtMs = dispatcher.nowMs()
-        dispatcher.renew(self.instance, entry.openRequestsAt(self.instance), renewedAtMs - lastTickAtMs)
+        val nowMs = dispatcher.nowMs()
+        dispatcher.renew(self.instance, entry.openRequestsAt(self.instance), nowMs - lastTickAtMs)
+        lastTickAtMs = nowMs
         dispatcher.withdrawUnrenewed().forEach { (origin, job, progress) -> sendMoved(origin, job, progress) }
     }
 
@@ -380,7 +380,7 @@
 
     /** Time since [instance] has certainly waited for the job; longer than any lease if that is unknown. */
     private fun renewedMsAgo(instance: String, message: PeerMessage.Submit): Long {
-        if (instance == self.instance) return 0
+        if (instance == self.instance) return dispatcher.nowMs() - lastTickAtMs
         val ageMs = message.heardAtMs?.let(network::ageMsOrNull)
         // The instance answers a heartbeat with a renewal.
         if (ageMs == null || ageMs > RECENT_MS) network.sendHeartbeatNow(instance)
@@ -466,6 +466,8 @@
 
         /** A job that was renewed within this time starts at once on most backend servers. */
         const val RECENT_MS = 300L
+
+        /** Longer than any lease. */
         const val UNKNOWN_AGE_MS = 60_000L
 
         /** Time without a response of any backend server after which a failure domain counts as unreachable. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/LeaseLimits.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/LeaseLimits.kt
@@ -4,15 +4,15 @@
  * Limits how long this owner extends the leases of runs whose jobs may have been sent to another owner.
  *
  * The instance that has submitted a job may send it to another owner at any time, and its caller may send it again
- * through another instance. Both wait for [longestRunMs] and count on all runs having ended by then; messages to this
- * owner may be lost. A run therefore keeps its lease only for a limited time after its job was renewed. The lease of a
- * backend server covers all its runs, so the run with the earliest limit decides.
+ * through another instance. The one waits for [longestRunMs], the other longer, and both count on all runs having
+ * ended by then; messages to this owner may be lost. A run therefore keeps its lease only for a limited time after its
+ * job was renewed. The lease of a backend server covers all its runs, so the run with the earliest limit decides.
  */
 internal class LeaseLimits(private val settings: DispatchSettings, private val tables: DispatchTables) {
     /** Time up to which leases of the runs of [job] may be granted. */
     fun limitMs(job: JobRow): Long = job.renewedAtMs + settings.renewedLeaseMs
 
-    /** Time up to which the lease of [row] may be extended. */
+    /** Time up to which the lease of [row] may be extended; in the past if it must not be. */
     fun limitMs(row: BackendRow): Long {
         var limitMs = Long.MAX_VALUE
         for (task in row.tasks.values) limitMs = minOf(limitMs, limitMs(task.job))
@@ -41,7 +41,7 @@
     }
 
     private companion object {
-        /** A backend server that answers reports its runs within this time. The next takeover takes longer. */
+        /** A backend server that answers reports its runs within this time. The next takeover begins later. */
         const val FIRST_REPORT_MS = 250L
     }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TakeoverSystem.kt
@@ -47,6 +47,9 @@
 /** Longest lease that a backend server grants, on its own clock; defined by the platform. */
 internal const val MAX_LEASE_MS = 1_000L
 
+/** Error of the estimated clock of a backend server, which drifts between two reports. */
+internal const val CLOCK_ERROR_MS = 20L
+
 /** Time that a backend server may take to stop a run once its lease has expired or it has acknowledged a stop. */
 internal const val STOP_MARGIN_MS = 80L
 
@@ -55,4 +58,5 @@
  * know the job. Each owner enforces this by [LeaseLimits].
  */
 internal fun longestRunMs(settings: DispatchSettings): Long =
-    ((settings.renewedLeaseMs + settings.unknownLeaseMs) * (1 + settings.clockDrift)).toLong() + STOP_MARGIN_MS
+    ((settings.renewedLeaseMs + settings.unknownLeaseMs) * (1 + settings.clockDrift)).toLong() +
+        CLOCK_ERROR_MS + STOP_MARGIN_MS
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/RunRenewalTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/RunRenewalTest.kt
@@ -85,4 +85,39 @@
         submit(sim.owners.last(), sim.job("beside", tasks = 1, estimateMs = 3_000), "i3", JobProgress())
         submitToSecond(JobProgress())
     }
+
+    private fun expectOneRunBeside() {
+        sim.run(sim.nowMs + 4_000)
+        sim.startsByTask[TaskKey(JobId("beside"), 0, 0)] shouldBe 1
+        sim.backends.getValue("near").running.keys shouldBe setOf(TaskKey(JobId("beside"), 0, 0))
+    }
+
+    /** Guards against ending the runs of other jobs together with one that its submitter has left. */
+    @Test
+    fun `a run beside one that is no longer renewed goes on`() {
+        sim.silentInstances += "i1"
+        repeat(20) {
+            sim.run(sim.nowMs + 50)
+            first.dispatcher.withdrawUnrenewed()
+        }
+        expectOneRunBeside()
+    }
+
+    /** As above, if the first stop is lost. */
+    @Test
+    fun `a run beside one whose stop is repeated goes on`() {
+        var stops = 0
+        sim.lateStopByMs = { if (++stops == 1) 60_000 else null }
+        sim.silentInstances += "i1"
+        sim.run(sim.nowMs + 500)
+        first.dispatcher.onInstanceLost("i1")
+        expectOneRunBeside()
+    }
+
+    /** Guards against a report of a lost instance's jobs that is outdated when another instance waits for them, too. */
+    @Test
+    fun `a job that goes on for another instance is reported as one of which any task may run`() {
+        submit(first, request, "i2")
+        first.dispatcher.onInstanceLost("i1").single().third.ordered shouldBe null
+    }
 }
