--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -382,7 +382,7 @@
     private fun renewedMsAgo(instance: String, message: PeerMessage.Submit): Long {
         if (instance == self.instance) return dispatcher.nowMs() - lastTickAtMs
         val ageMs = message.heardAtMs?.let(network::ageMsOrNull)
-        // The instance answers a heartbeat with a renewal.
+        // The instance renews the request as soon as it has received a recent time.
         if (ageMs == null || ageMs > RECENT_MS) network.sendHeartbeatNow(instance)
         return ageMs ?: UNKNOWN_AGE_MS
     }
