Log which instances waited for a job and who renewed it last

The line of the end of a job now names them, with the age of the last renewal and whether an earlier owner was known; a job that a second instance joins says how long it had been open; a hand-over says what was ordered.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -136,7 +136,10 @@
         val open = tables.jobs[request.id]
         if (open != null) {
             open.addOrigin(origin, nowMs - renewedMsAgo, nowMs)
-            log.event("dispatch", "job-joined", "job", request.id, "origin", origin.instance)
+            log.event(
+                "dispatch", "job-joined", "job", request.id, "origin", origin.instance, "waitedMs", waitedMs,
+                "origins", open.origins.map { it.instance }, "openForMs", nowMs - open.arrivedAtMs,
+            )
             return
         }
         progress?.let { crashes.mergeAll(it.histories, nowMs) }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -198,7 +198,8 @@
         val request = find(number, job) ?: return
         log.event(
             "entry", "job-moved", "request", request.requestId, "job", request.job.id,
-            "from", request.owner, "done", progress.done.size,
+            "from", request.owner, "done", progress.done.size, "ordered", progress.ordered?.size,
+            "runsEndInMs", progress.runsEndInMs,
         )
         // The owner may have accepted the job since, if it has received it twice.
         if (request.isRepeated) request.owner?.let { withdraw(request, it) }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
@@ -21,7 +21,8 @@
             "dispatch", "job-ended", "job", job.request.id, "queue", job.queue.id, "result", result,
             "tookMs", nowMs - job.arrivedAtMs, "waitedMs", startedAtMs - job.arrivedAtMs,
             "chainMs", job.criticalPathMs.toLong(), "budgetMs", job.latestStartMs - job.arrivedAtMs,
-            "configuration", tables.configuration?.version,
+            "configuration", tables.configuration?.version, "origins", job.origins.map { it.instance },
+            "resumed", job.isResumed, "renewedMsAgo", nowMs - job.renewedAtMs,
         )
         job.origins.forEach { actions.jobEnded(it, job.request.id, result) }
     }
