Show two owners that run one job for two waiting entries

A client leaves, its entry learns of it 1.5 to 4 s later, and the client sends the job to another entry after 1.3 s.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunPropertyTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunPropertyTest.kt
@@ -12,16 +12,18 @@
      */
     @Test
     fun `no sequence of faults between entries and owners runs a task twice at the same time`() {
-        val violations = LinkedHashMap<Long, String>()
-        for (seed in FIRST_SEED until FIRST_SEED + SEEDS) {
-            EntryConcurrentRunScenario(Random(seed)).violationOrNull()?.let { violations[seed] = it }
-        }
-        val (seed, trace) = violations.entries.firstOrNull() ?: return
-        throw AssertionError("${violations.size} of $SEEDS seeds fail: ${violations.keys}\nseed $seed: $trace")
+        expectNoConcurrentRuns { EntryConcurrentRunScenario(Random(it)) }
     }
+}
 
-    private companion object {
-        val FIRST_SEED: Long = java.lang.Long.getLong("entry.runs.first", 0)
-        val SEEDS: Int = Integer.getInteger("entry.runs.seeds", 300)
+/** Runs the scenarios of all seeds, also if some fail. */
+internal fun expectNoConcurrentRuns(scenario: (Long) -> EntryConcurrentRunScenario) {
+    val firstSeed = java.lang.Long.getLong("entry.runs.first", 0)
+    val seeds = Integer.getInteger("entry.runs.seeds", 300)
+    val violations = LinkedHashMap<Long, String>()
+    for (seed in firstSeed until firstSeed + seeds) {
+        scenario(seed).violationOrNull()?.let { violations[seed] = it }
     }
+    val (seed, trace) = violations.entries.firstOrNull() ?: return
+    throw AssertionError("${violations.size} of $seeds seeds fail: ${violations.keys}\nseed $seed: $trace")
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
@@ -7,10 +7,15 @@
  * Entries and owners of failure domains with simulated links between them, under random pauses, cuts, losses and
  * handovers.
  *
- * A client sends its job again only after the entry that held it has dropped it. That two entries hold the same job at
- * the same time, because the first has not noticed that its client has left, is a known open point and not included.
+ * @param leavesUnnoticed whether entries learn only seconds later that a client has left, so that two entries wait for
+ *   its job. Otherwise a client sends its job again only after the entry that held it has dropped it.
+ * @param cutsLinks whether links between instances are cut.
  */
-internal class EntryConcurrentRunScenario(private val random: Random) {
+internal class EntryConcurrentRunScenario(
+    private val random: Random,
+    private val leavesUnnoticed: Boolean = false,
+    private val cutsLinks: Boolean = true,
+) {
     private val clock = TestTimeSource()
     private val sim = SimulatedBackends(clock)
     private val fleet = SimulatedFleet(sim, clock, random, OWNERS, ENTRIES)
@@ -29,11 +34,13 @@
         fun send() {
             val next = running(entries).filterNot { it.isPaused }.randomOrNull(random) ?: return repeat()
             entry = next
-            attempts++
+            val attempt = ++attempts
             val timeoutMs = random.nextLong(2_000, 3_000)
-            handle = next.service.submit(request, "${request.id}-$attempts", timeoutMs) { result ->
-                entry = null
-                if (result != JobResult.Complete) repeat()
+            handle = next.service.submit(request, "${request.id}-$attempt", timeoutMs) { result ->
+                if (attempt == attempts && entry != null) {
+                    entry = null
+                    if (result != JobResult.Complete) repeat()
+                }
             }
         }
 
@@ -46,6 +53,14 @@
         fun disconnect() {
             val holder = entry ?: return
             val dropped = handle
+            if (leavesUnnoticed) {
+                entry = null
+                repeat()
+                sim.after(random.nextLong(MIN_UNNOTICED_MS, MAX_UNNOTICED_MS)) {
+                    holder.deliver { holder.service.cancel(dropped) }
+                }
+                return
+            }
             holder.deliver {
                 if (entry === holder && handle == dropped) {
                     entry = null
@@ -69,6 +84,7 @@
         while (step++ < STEPS && sim.concurrentRuns.isEmpty()) {
             if (random.nextInt(3) > 0) addClient()
             disturb()
+            if (leavesUnnoticed && random.nextInt(3) == 0) disconnectClient()
             run(random.nextLong(20, 500))
         }
         run(AFTERWARDS_MS)
@@ -137,7 +153,7 @@
             5 -> restartOwner()
             6 -> handOver()
             7 -> changeOwnersInSeries()
-            8 -> clients.filter { it.entry != null }.randomOrNull(random)?.let(::disconnect)
+            8 -> disconnectClient()
             9 -> restartEntry()
             10 -> resetLink()
             else -> slowLink()
@@ -166,6 +182,7 @@
     private fun cutMs() = random.nextLong(100, 3_000)
 
     private fun cutLink(isOneWay: Boolean) {
+        if (!cutsLinks) return
         val (one, other) = randomLink()
         val isReversed = random.nextBoolean()
         val forMs = cutMs()
@@ -180,6 +197,7 @@
 
     /** Cuts all links of a machine, in one direction or both. */
     private fun cutMachine() {
+        if (!cutsLinks) return
         val machine = (OWNERS + ENTRIES).random(random)
         val forMs = cutMs()
         val directions = random.nextInt(1, 4)
@@ -232,7 +250,8 @@
         }
     }
 
-    private fun disconnect(client: Client) {
+    private fun disconnectClient() {
+        val client = clients.filter { it.entry != null }.randomOrNull(random) ?: return
         fault("client of job ${client.request.id} leaves")
         client.disconnect()
     }
@@ -261,5 +280,7 @@
         const val MAX_ATTEMPTS = 4
         const val REPEAT_MS = 1_300L
         const val REPEAT_SPREAD_MS = 300L
+        const val MIN_UNNOTICED_MS = 1_500L
+        const val MAX_UNNOTICED_MS = 4_000L
     }
 }
