Tell the other owners of jobs that callers may send again

What callers saw: a job ran at two owners when its caller had sent it again through another instance and the first instance did not know that its connection was gone. Both instances renewed the job, each at its owner; no time limit applied.

Cause: an owner takes a job that is new to it for one that no other owner has. Nothing told it otherwise, and the renewals of the first instance vouched for a caller that had left. Ruled out: limiting renewals to the last bytes read from callers, which would withdraw long jobs of instances with few callers.

A second submission is sent on to the owner at which the job is open, so the caller gets the result of the runs that go on. Restarts of old jobs wait until the other owners were told; a new owner waits until it was told of the jobs at the others.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
@@ -21,6 +21,15 @@
      */
     public fun runsRemain(tasks: List<TaskKey>)
 
+    /**
+     * Jobs have been open here for so long that their callers may soon send them again. Those in [running] have runs,
+     * those in [waiting] have none. The other owners must not run them.
+     */
+    public fun jobsOpen(running: List<JobId>, waiting: List<JobId>)
+
+    /** [job] is no longer run here since it is open at [owner], where [origin] has to submit it. */
+    public fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String)
+
     /** A backend server has rejected a command or a poll since it has received a higher token of another owner. */
     public fun onFenced(failureDomain: String)
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -15,6 +15,7 @@
     private val health: BackendHealthSystem,
     private val isolation: IsolationSystem,
     private val limits: LeaseLimits,
+    private val openJobs: OpenJobSystem,
     private val log: EventLog,
 ) {
     private val usable = ArrayList<BackendRow>()
@@ -67,7 +68,8 @@
         for (job in tables.waiting) {
             val isLate = !job.everDispatched && nowMs > job.latestStartMs
             if (isLate != late || job.queuedTasks == 0) continue
-            if (takeover.areRunsKnown(job, nowMs) && isRenewed(job, nowMs)) placeTasks(job, nowMs)
+            val mayStart = takeover.areRunsKnown(job, nowMs) && openJobs.mayStart(job, nowMs)
+            if (mayStart && isRenewed(job, nowMs)) placeTasks(job, nowMs)
         }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -11,6 +11,13 @@
  *   until its job is submitted here.
  * @property withdrawAfterMs time without a renewal after which a job is withdrawn, so that its runs are stopped before
  *   the lease of the runs beside them is limited.
+ * @property announceAfterMs age of a job at which the other owners are told that it is open here: well before
+ *   [earliestRepeatMs], so that a message may be lost.
+ * @property announceIntervalMs interval at which they are told again.
+ * @property earliestRepeatMs age of a job from which its caller may have sent it again, with a reserve for the way of
+ *   the request.
+ * @property objectionMs time after an announcement within which an owner that has the job open, too, has answered.
+ * @property resubmissionMs time after the takeover from a lost owner within which instances submit its jobs.
  * @property pollWaitMs how long a poll waits for a run to end.
  * @property idlePollWaitMs the same for a backend server without runs. The lease is longer by the difference to
  *   [pollWaitMs]. It is shorter than [renewedLeaseMs] by a heartbeat interval, since a task does not start
@@ -45,6 +52,11 @@
     val renewedLeaseMs: Long = 950,
     val unknownLeaseMs: Long = 200,
     val withdrawAfterMs: Long = 600,
+    val announceAfterMs: Long = 600,
+    val announceIntervalMs: Long = 300,
+    val earliestRepeatMs: Long = 1_000,
+    val objectionMs: Long = 60,
+    val resubmissionMs: Long = 100,
     val pollWaitMs: Long = 250,
     val idlePollWaitMs: Long = 400,
     val pollTimeoutMs: Long = 150,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -124,6 +124,13 @@
     var firstDispatchedAtMs = 0L
     var queuedTasks = 0
 
+    /** Time of the first and of the last of the present series of messages that it is open, see [OpenJobSystem]. */
+    var announcedSinceMs = NEVER_MS
+    var announcedAtMs = NEVER_MS
+
+    /** Whether one of its tasks has a run under this owner. */
+    val isRunning: Boolean get() = allTasks().any { it.isDispatched }
+
     /** Whether its tasks wait for a renewal before they start. */
     var isUnrenewed = false
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -17,12 +17,18 @@
     private val elapsed = ElapsedClock(clock)
     private val tables = DispatchTables(settings.historyRetentionMs)
     private val ends = JobEndSystem(tables, actions, log)
+
+    /** What owners tell each other of open jobs. */
+    internal val openJobSystem = OpenJobSystem(settings, elapsed, tables, ends, actions, log)
+
     private val takeover = TakeoverSystem(settings, tables)
     private val health = BackendHealthSystem(settings, tables, log)
     private val isolation = IsolationSystem(settings, tables, health, log)
     private val crashes = CrashSystem(settings, tables, actions, log)
     private val limits = LeaseLimits(settings, tables)
-    private val placement = DispatchPlacement(settings, tables, actions, takeover, health, isolation, limits, log)
+    private val placement = DispatchPlacement(
+        settings, tables, actions, takeover, health, isolation, limits, openJobSystem, log,
+    )
     private val losses = RunLossSystem(settings, tables, ends, crashes, placement, log)
     private val listing = BackendListingSystem(tables, losses, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
@@ -153,6 +159,7 @@
         tables.jobs[request.id] = job
         job.highestPriorRun = job.allTasks().maxOfOrNull { tables.runs.highestRun(it.key) } ?: 0
         progress?.let { resume(job, it, nowMs) }
+        openJobSystem.onAdmitted(job, nowMs)
         replies.adoptUnknownRuns(job, nowMs)
         placement.unblock(job)
         val failure = job.allTasks().filter { it.state != TaskState.DONE }.firstNotNullOfOrNull(crashes::resultOrNull)
@@ -163,7 +170,8 @@
 
     /** A job of which an earlier attempt has runs is not refused as "not run", and so is sent to no other owner. */
     private fun refuse(request: JobRequest, origin: JobOrigin, refusal: JobResult.NotRun, nowMs: Long) {
-        val hasRun = request.tasks().any { tables.runs.findActive(it, nowMs) != null }
+        val hasRun = openJobSystem.otherOwnerOrNull(request.id) != null ||
+            request.tasks().any { tables.runs.findActive(it, nowMs) != null }
         val result = if (hasRun) JobResult.Abandoned("an earlier attempt may run: ${refusal.reason}") else refusal
         actions.jobEnded(origin, request.id, result)
     }
@@ -296,6 +304,7 @@
         ends.runDeadlines(nowMs)
         tables.histories.prune(nowMs) { it in tables.jobs }
         polls.run(nowMs)
+        openJobSystem.run(nowMs)
         placement.run(nowMs)
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -194,18 +194,24 @@
 
     private fun isOverload(result: JobResult) = result is JobResult.NotRun && result.code == NotRunCode.OVERLOAD
 
-    internal fun onMoved(number: Long, job: JobId, progress: JobProgress) {
+    /** @param openAt owner at which the job is open; null if none is known. */
+    internal fun onMoved(number: Long, job: JobId, progress: JobProgress, openAt: String? = null) {
         val request = find(number, job) ?: return
         log.event(
             "entry", "job-moved", "request", request.requestId, "job", request.job.id,
             "from", request.owner, "done", progress.done.size, "ordered", progress.ordered?.size,
-            "runsEndInMs", progress.runsEndInMs,
+            "runsEndInMs", progress.runsEndInMs, "openAt", openAt,
         )
         // The owner may have accepted the job since, if it has received it twice.
         if (request.isRepeated) request.owner?.let { withdraw(request, it) }
         request.progress = if (request.isRepeated) progress.copy(ordered = null) else progress
         request.owner = null
-        reroute(request)
+        if (openAt != null && ownerClient.isAlive(openAt) && ownerClient.isOwner(openAt)) {
+            request.mayHaveRun = true
+            send(request, openAt)
+        } else {
+            reroute(request)
+        }
     }
 
     /** Owners at which this instance has requests open. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -43,6 +43,7 @@
     private val listing = BackendListing(clock)
     private var leaving = false
     private var lastTickAtMs = 0L
+    private var ownerSinceMs = NEVER_MS
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
@@ -178,6 +179,7 @@
     private fun informNewOwners(others: Set<String>) {
         val remaining = if (others.all { it in informedOwners }) emptyList() else dispatcher.remainingRuns()
         if (remaining.isNotEmpty()) sendActiveRuns(others - informedOwners, remaining)
+        if (!informedOwners.containsAll(others)) dispatcher.openJobSystem.announceNow()
         informedOwners = others
     }
 
@@ -263,7 +265,13 @@
 
     private inner class OwnershipChanges : OwnershipListener {
         override fun onAcquired(failureDomain: String, token: Long, wasReleased: Boolean) {
+            if (dispatcher.ownedDomains.isEmpty()) ownerSinceMs = dispatcher.nowMs()
             dispatcher.acquire(failureDomain, token, wasReleased)
+            // Several failure domains may be acquired together.
+            val isNewOwner = dispatcher.nowMs() - ownerSinceMs < CLAIM_MS
+            if (isNewOwner && network.views().isNotEmpty()) {
+                dispatcher.openJobSystem.onAcquired(selection.otherPossibleOwners(), wasReleased)
+            }
             dispatcher.updateBackends(listing.backends)
             network.sendHeartbeatNow()
             dispatcher.tick()
@@ -283,11 +291,11 @@
         }
     }
 
-    private fun sendMoved(origin: JobOrigin, job: JobId, progress: JobProgress) {
+    private fun sendMoved(origin: JobOrigin, job: JobId, progress: JobProgress, openAt: String? = null) {
         if (origin.instance == self.instance) {
-            entry.onMoved(origin.request, job, progress)
+            entry.onMoved(origin.request, job, progress, openAt)
         } else {
-            network.send(origin.instance, PeerMessage.Moved(origin.request, job, progress))
+            network.send(origin.instance, PeerMessage.Moved(origin.request, job, progress, openAt))
         }
     }
 
@@ -324,6 +332,14 @@
 
         override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(selection.otherOwners(), tasks)
 
+        override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
+            val message = PeerMessage.ActiveRuns(running = running, waiting = waiting)
+            selection.otherOwners().forEach { network.send(it, message) }
+        }
+
+        override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
+            sendMoved(origin, job, progress, owner)
+
         override fun onFenced(failureDomain: String) = ownership.onFenced(failureDomain)
     }
 
@@ -362,11 +378,15 @@
     private fun onSubmit(instance: String, message: PeerMessage.Submit) {
         val origin = JobOrigin(instance, message.number)
         val recorded = results.find(origin, message.job.id)
+        // A job that was sent on already is run here, so that two owners can't send it back and forth.
+        val openAt = if (message.progress == null) dispatcher.openJobSystem.otherOwnerOrNull(message.job.id) else null
         when {
             recorded != null -> network.send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
 
             dispatcher.ownedDomains.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
 
+            openAt != null && network.isAlive(openAt) -> sendMoved(origin, message.job.id, JobProgress(), openAt)
+
             else -> dispatcher.submit(
                 message.job,
                 origin,
@@ -408,7 +428,8 @@
 
                 is PeerMessage.Ended -> entry.onResult(message.number, message.job, message.result)
 
-                is PeerMessage.Moved -> entry.onMoved(message.number, message.job, message.progress)
+                is PeerMessage.Moved ->
+                    entry.onMoved(message.number, message.job, message.progress, message.openAt)
 
                 is PeerMessage.Configuration -> onConfiguration(message.configuration)
 
@@ -416,13 +437,19 @@
 
                 is PeerMessage.Histories -> dispatcher.learn(message.histories)
 
-                is PeerMessage.ActiveRuns -> dispatcher.learnActiveRuns(message.tasks)
+                is PeerMessage.ActiveRuns -> onActiveRuns(peer, message)
 
                 is PeerMessage.Members ->
                     message.members.filter { it.instance != self.instance }.forEach(network::addMember)
             }
         }
 
+        private fun onActiveRuns(peer: PeerMember, message: PeerMessage.ActiveRuns) {
+            dispatcher.learnActiveRuns(message.tasks)
+            val hasPrecedence = peer.instance < self.instance
+            dispatcher.openJobSystem.onAnnounced(peer.instance, message.running, message.waiting, hasPrecedence)
+        }
+
         private fun onHeartbeat(peer: PeerMember, heartbeat: PeerMessage.Heartbeat) {
             heartbeat.renewal?.let { renewal ->
                 network.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer.instance, renewal.requests, it) }
@@ -433,6 +460,8 @@
             } else if (withoutStore.add(peer.instance)) {
                 network.send(peer.instance, PeerMessage.Members(network.members() + self))
             }
+            val isNewOwner = heartbeat.owned.isNotEmpty() && peer.instance !in informedOwners
+            if (isNewOwner && dispatcher.ownedDomains.isNotEmpty()) informNewOwners(selection.otherOwners())
             val current = configuration ?: return
             if (heartbeat.configurationVersion < current.version) {
                 network.send(peer.instance, PeerMessage.Configuration(current))
@@ -467,6 +496,9 @@
         /** A job that was renewed within this time starts at once on most backend servers. */
         const val RECENT_MS = 300L
 
+        /** The failure domains of a lost owner are acquired within this time. */
+        const val CLAIM_MS = 50L
+
         /** Longer than any lease. */
         const val UNKNOWN_AGE_MS = 60_000L
 
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -0,0 +1,157 @@
+package medlarroute.dispatch
+
+/**
+ * Keeps two owners from running one job.
+ *
+ * A caller may send a job again through another instance while the first one does not know that its connection is
+ * gone. Both instances then renew the job, possibly at two owners. A caller waits for a while before it does so, and
+ * until then the first owner has told the others that the job is open there. They send a second submission on to it,
+ * so that the caller gets the result of the runs that go on. Where that is not possible, they wait.
+ */
+internal class OpenJobSystem(
+    private val settings: DispatchSettings,
+    private val clock: ElapsedClock,
+    private val tables: DispatchTables,
+    private val ends: JobEndSystem,
+    private val actions: DispatchActions,
+    private val log: EventLog,
+) {
+    /** That a job is open at [owner], which is certain until [untilMs]. */
+    private class OpenElsewhere(val owner: String, val untilMs: Long)
+
+    private val openElsewhere = HashMap<JobId, OpenElsewhere>()
+    private var announcedAtMs = NEVER_MS
+
+    /** The other owners that have not yet told which jobs are open there, and how long this instance waits for them. */
+    private val awaitedOwners = HashSet<String>()
+    private var awaitedUntilMs = NEVER_MS
+
+    /** End of the time in which instances submit the jobs of a lost owner. */
+    private var resubmissionsUntilMs = NEVER_MS
+
+    /**
+     * This instance has become an owner. It starts no new job before it knows of the jobs that are open elsewhere.
+     *
+     * @param otherOwners the other owners, and those that are silent and may live.
+     * @param wasReleased whether the previous owner has told the instances that wait for its jobs.
+     */
+    fun onAcquired(otherOwners: Set<String>, wasReleased: Boolean) {
+        val nowMs = clock.nowMs()
+        awaitedOwners.clear()
+        awaitedOwners += otherOwners
+        awaitedUntilMs = nowMs + longestRunMs(settings)
+        if (!wasReleased) resubmissionsUntilMs = nowMs + settings.resubmissionMs
+    }
+
+    private fun isReady(nowMs: Long): Boolean {
+        if (nowMs >= awaitedUntilMs) awaitedOwners.clear()
+        return awaitedOwners.isEmpty() && nowMs >= resubmissionsUntilMs
+    }
+
+    /** The owner other than this instance at which [job] is open; null if there is none, or the job is open here. */
+    fun otherOwnerOrNull(job: JobId): String? =
+        openElsewhere[job]?.takeIf { it.untilMs >= clock.nowMs() && job !in tables.jobs }?.owner
+
+    /** The tasks of [job], which was just admitted, wait if it is open at another owner. */
+    fun onAdmitted(job: JobRow, nowMs: Long) {
+        val other = openElsewhere.remove(job.request.id)?.takeIf { it.untilMs >= nowMs } ?: return
+        log.event("dispatch", "job-open-elsewhere", "job", job.request.id, "owner", other.owner)
+        for (task in job.allTasks()) tables.runs.recordUnplaced(task.key, other.untilMs)
+    }
+
+    /**
+     * Whether tasks of [job] may start as far as other owners are concerned. Those of an old job start only once the
+     * other owners have been told of it and have had time to object.
+     */
+    fun mayStart(job: JobRow, nowMs: Long): Boolean = when {
+        !isReady(nowMs) -> false
+        nowMs - job.arrivedAtMs < settings.earliestRepeatMs -> true
+        else -> nowMs - job.announcedSinceMs >= settings.objectionMs && !isSeriesOver(job, nowMs)
+    }
+
+    private fun isSeriesOver(job: JobRow, nowMs: Long) = nowMs - job.announcedAtMs > 2 * settings.announceIntervalMs
+
+    /** Another instance has become an owner, and waits to be told of the jobs here, also if there are none. */
+    fun announceNow() {
+        val nowMs = clock.nowMs()
+        val old = tables.jobs.values.filter { nowMs - it.arrivedAtMs >= settings.announceAfterMs }
+        if (old.isEmpty()) actions.jobsOpen(emptyList(), emptyList()) else announce(old, nowMs)
+    }
+
+    /** Announces the jobs that are due. */
+    fun run(nowMs: Long) {
+        if (nowMs - announcedAtMs < MIN_INTERVAL_MS) return
+        announcedAtMs = nowMs
+        openElsewhere.values.removeIf { it.untilMs < nowMs }
+        announce(tables.jobs.values.filter { isDue(it, nowMs) }, nowMs)
+    }
+
+    private fun isDue(job: JobRow, nowMs: Long) = nowMs - job.arrivedAtMs >= settings.announceAfterMs &&
+        nowMs - job.announcedAtMs >= settings.announceIntervalMs
+
+    private fun announce(jobs: List<JobRow>, nowMs: Long) {
+        if (jobs.isEmpty()) return
+        for (job in jobs) {
+            if (isSeriesOver(job, nowMs)) job.announcedSinceMs = nowMs
+            job.announcedAtMs = nowMs
+        }
+        val (running, waiting) = jobs.partition { it.isRunning }
+        actions.jobsOpen(running.map { it.request.id }, waiting.map { it.request.id })
+    }
+
+    /**
+     * Jobs are open at [owner]: those in [running] have runs, those in [waiting] have none.
+     *
+     * @param hasPrecedence whether [owner] keeps the jobs that both owners have announced and neither runs. Otherwise
+     *   the one keeps them that has announced them first.
+     */
+    fun onAnnounced(owner: String, running: List<JobId>, waiting: List<JobId>, hasPrecedence: Boolean) {
+        val nowMs = clock.nowMs()
+        awaitedOwners -= owner
+        val untilMs = nowMs + longestRunMs(settings)
+        val objections = ArrayList<JobRow>(0)
+        for (id in running + waiting) {
+            val job = tables.jobs[id]
+            if (job == null) {
+                openElsewhere[id] = OpenElsewhere(owner, untilMs)
+                continue
+            }
+            val isRunningThere = id in running
+            if (job.isRunning) {
+                if (nowMs - job.announcedAtMs >= MIN_INTERVAL_MS) objections += job
+                if (isRunningThere) holdBack(job, untilMs)
+            } else if (isRunningThere || hasPrecedence || isSeriesOver(job, nowMs)) {
+                yieldJob(job, owner, nowMs)
+                openElsewhere[id] = OpenElsewhere(owner, untilMs)
+            } else if (nowMs - job.announcedAtMs >= MIN_INTERVAL_MS) {
+                objections += job
+            }
+        }
+        announce(objections, nowMs)
+    }
+
+    /** Both owners have runs of [job]. Neither starts a task that the other one may be running. */
+    private fun holdBack(job: JobRow, untilMs: Long) {
+        for (task in job.allTasks()) {
+            if (!task.isDispatched && task.state != TaskState.DONE) tables.runs.recordUnplaced(task.key, untilMs)
+        }
+    }
+
+    /** Sends the instances that wait for [job] to [owner]. */
+    private fun yieldJob(job: JobRow, owner: String, nowMs: Long) {
+        val progress = tables.progressOf(job, nowMs)
+        val origins = job.origins.toList()
+        log.event(
+            "dispatch", "job-yielded", "job", job.request.id, "to", owner, "origins", origins.map { it.instance },
+            "done", progress.done.size,
+        )
+        job.origins.clear()
+        ends.end(job, JobResult.Cancelled, nowMs)
+        origins.forEach { actions.jobMoved(it, job.request.id, progress, owner) }
+    }
+
+    private companion object {
+        /** A few ticks, so that jobs which become due one after the other are announced together. */
+        const val MIN_INTERVAL_MS = 50L
+    }
+}
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
@@ -24,6 +24,13 @@
     fun otherOwners(): Set<String> =
         owners().mapTo(HashSet()) { it.member.instance }.also { it -= own().member.instance }
 
+    /** The other owners, and silent instances that own failure domains which no reachable instance owns. */
+    fun otherPossibleOwners(): Set<String> {
+        val covered = owners().flatMapTo(HashSet()) { it.owned.keys }
+        val silent = peers().filter { it.state != PeerState.ALIVE && !covered.containsAll(it.owned.keys) }
+        return otherOwners() + silent.map { it.member.instance }
+    }
+
     /** Loads of the other owners in percent. */
     fun otherLoads(): Map<String, Int> = otherOwners().associateWith { heartbeatOf(it)?.loadPercent ?: 0 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -88,10 +88,17 @@
     /**
      * The sender no longer runs the job, since it owns no backend servers or had lost contact with the receiver. The
      * job has to be submitted again.
+     *
+     * @property openAt owner at which the job is open; null if none is known.
      */
     @Serializable
     @SerialName("moved")
-    public data class Moved(val number: Long, val job: JobId, val progress: JobProgress) : PeerMessage
+    public data class Moved(
+        val number: Long,
+        val job: JobId,
+        val progress: JobProgress,
+        val openAt: String? = null,
+    ) : PeerMessage
 
     /** A configuration that the receiver lacks. */
     @Serializable
@@ -108,10 +115,21 @@
     @SerialName("histories")
     public data class Histories(val histories: List<TaskHistory>) : PeerMessage
 
-    /** Tasks of which a run goes on at the sender's backend servers, although its job is unknown or has ended. */
+    /**
+     * What the receiver must not run.
+     *
+     * @property tasks tasks of which a run goes on at the sender's backend servers, although its job is unknown or has
+     *   ended.
+     * @property running jobs that are open at the sender and have runs.
+     * @property waiting jobs that are open at the sender and have no run.
+     */
     @Serializable
     @SerialName("active")
-    public data class ActiveRuns(val tasks: List<TaskKey>) : PeerMessage
+    public data class ActiveRuns(
+        val tasks: List<TaskKey> = emptyList(),
+        val running: List<JobId> = emptyList(),
+        val waiting: List<JobId> = emptyList(),
+    ) : PeerMessage
 
     /** All instances that the sender knows. */
     @Serializable
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -60,6 +60,26 @@
         results shouldContainExactly listOf(overload)
     }
 
+    /** Guards against a second run of a job that its caller has sent again, and the loss of the result of the first. */
+    @Test
+    fun `a job that is open at another owner is submitted there as one that may have run`() {
+        owners += "b"
+        submit()
+        entry.onMoved(sent.last().second.number, job.id, JobProgress(), openAt = "b")
+        sent.map { it.first } shouldContainExactly listOf("a", "b")
+        sent.last().second.progress shouldBe JobProgress()
+    }
+
+    /** Guards against a job that is submitted to an owner which has died. */
+    @Test
+    fun `a job that is open at an unreachable owner is submitted to a reachable one`() {
+        owners += "b"
+        alive -= "b"
+        submit()
+        entry.onMoved(sent.last().second.number, job.id, JobProgress(), openAt = "b")
+        sent.map { it.first } shouldContainExactly listOf("a", "a")
+    }
+
     /** Guards against a restarted owner that starts tasks beside the runs of its previous process. */
     @Test
     fun `a job that is submitted again to a restarted owner may have run`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -64,6 +64,12 @@
     /** Whether messages between owners are lost. */
     var losesOwnerMessages = false
 
+    /** Whether owners without a network tell each other of their open jobs; the first is called "o0". */
+    var sharesOpenJobs = false
+
+    /** Jobs that an owner without a network has sent on to another one. */
+    val moved = ArrayList<Pair<JobId, String>>()
+
     /** Instances from which the owners hear nothing, without having noticed it. */
     val silentInstances = HashSet<String>()
 
@@ -146,6 +152,24 @@
             }
         }
 
+        override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
+            if (losesOwnerMessages) return
+            peers?.let { return it.jobsOpen(running, waiting) }
+            if (!sharesOpenJobs) return
+            val own = owners.indexOf(this)
+            after(2) {
+                owners.forEachIndexed { index, other ->
+                    if (index == own) return@forEachIndexed
+                    other.deliver { other.dispatcher.openJobSystem.onAnnounced("o$own", running, waiting, own < index) }
+                }
+            }
+        }
+
+        override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) {
+            peers?.let { return it.jobMoved(origin, job, progress, owner) }
+            moved += job to owner
+        }
+
         override fun onFenced(failureDomain: String) {
             peers?.let { return it.onFenced(failureDomain) }
             fenced += failureDomain
@@ -469,5 +493,9 @@
 
     fun runsRemain(tasks: List<TaskKey>)
 
+    fun jobsOpen(running: List<JobId>, waiting: List<JobId>)
+
+    fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String)
+
     fun onFenced(failureDomain: String)
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -53,7 +53,7 @@
     override fun onMessage(peer: String, message: PeerMessage) {
         when (message) {
             is PeerMessage.Ended -> service.onResult(message.number, message.job, message.result)
-            is PeerMessage.Moved -> service.onMoved(message.number, message.job, message.progress)
+            is PeerMessage.Moved -> service.onMoved(message.number, message.job, message.progress, message.openAt)
             else -> Unit
         }
     }
@@ -82,6 +82,13 @@
     OwnerPeers {
     private val controller = fleet.sim.addOwner(name = "$name#${member.number}", peers = this)
     private val results = RecentResults(fleet.clock)
+    private val selection = OwnerSelection(
+        own = { PeerView(member, PeerState.ALIVE, tokens, leaving = false) },
+        peers = ::views,
+        isPerDomain = { true },
+        heartbeatOf = ::heartbeatOf,
+        ownLoadPercent = { 0 },
+    )
     private val lostInstances = HashSet<String>()
     private var informedOwners: Set<String> = emptySet()
     private val released = HashMap<String, Long>()
@@ -92,8 +99,7 @@
     val owned: Map<String, Long> get() = tokens
     private val dispatcher get() = controller.dispatcher
 
-    private fun otherOwners(): Set<String> =
-        views().filter { it.state == PeerState.ALIVE && it.owned.isNotEmpty() }.mapTo(HashSet()) { it.member.instance }
+    private fun otherOwners(): Set<String> = selection.otherOwners()
 
     override fun start() {
         sim.configure(controller, SimulatedBackends.queue())
@@ -112,8 +118,10 @@
 
     fun acquire(failureDomain: String, token: Long) {
         sim.trace("process $name acquires $failureDomain token $token")
+        val isFirst = tokens.isEmpty()
         tokens[failureDomain] = token
         dispatcher.acquire(failureDomain, token)
+        if (isFirst) dispatcher.openJobSystem.onAcquired(selection.otherPossibleOwners(), wasReleased = false)
         updateBackends()
         sendHeartbeatNow()
         dispatcher.tick()
@@ -137,9 +145,9 @@
         }
     }
 
-    private fun sendMoved(origin: JobOrigin, job: JobId, progress: JobProgress) {
-        sim.trace("$name moves job $job of ${origin.instance} progress $progress")
-        send(origin.instance, PeerMessage.Moved(origin.request, job, progress))
+    private fun sendMoved(origin: JobOrigin, job: JobId, progress: JobProgress, openAt: String? = null) {
+        sim.trace("$name moves job $job of ${origin.instance} progress $progress to $openAt")
+        send(origin.instance, PeerMessage.Moved(origin.request, job, progress, openAt))
     }
 
     override fun ownershipTick() {
@@ -172,6 +180,7 @@
         val others = otherOwners()
         val remaining = if (others.all { it in informedOwners }) emptyList() else dispatcher.remainingRuns()
         if (remaining.isNotEmpty()) sendActiveRuns(others - informedOwners, remaining)
+        if (!informedOwners.containsAll(others)) dispatcher.openJobSystem.announceNow()
         informedOwners = others
     }
 
@@ -182,8 +191,11 @@
 
     override fun onMessage(peer: String, message: PeerMessage) {
         when (message) {
-            is PeerMessage.Heartbeat -> message.renewal?.let { renewal ->
-                peerClock.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer, renewal.requests, it) }
+            is PeerMessage.Heartbeat -> {
+                message.renewal?.let { renewal ->
+                    peerClock.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer, renewal.requests, it) }
+                }
+                if (tokens.isNotEmpty() && message.owned.isNotEmpty() && peer !in informedOwners) informNewOwners()
             }
 
             is PeerMessage.Submit -> onSubmit(peer, message)
@@ -192,7 +204,10 @@
 
             is PeerMessage.OpenRequests -> dispatcher.retainRequests(peer, message.numbers.toSet())
 
-            is PeerMessage.ActiveRuns -> dispatcher.learnActiveRuns(message.tasks)
+            is PeerMessage.ActiveRuns -> {
+                dispatcher.learnActiveRuns(message.tasks)
+                dispatcher.openJobSystem.onAnnounced(peer, message.running, message.waiting, peer < name)
+            }
 
             else -> Unit
         }
@@ -201,11 +216,14 @@
     private fun onSubmit(instance: String, message: PeerMessage.Submit) {
         val origin = JobOrigin(instance, message.number)
         val recorded = results.find(origin, message.job.id)
+        val openAt = if (message.progress == null) dispatcher.openJobSystem.otherOwnerOrNull(message.job.id) else null
         when {
             recorded != null -> send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
 
             tokens.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
 
+            openAt != null && isAlive(openAt) -> sendMoved(origin, message.job.id, JobProgress(), openAt)
+
             else -> dispatcher.submit(
                 message.job,
                 origin,
@@ -232,6 +250,16 @@
 
     override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(otherOwners(), tasks)
 
+    override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
+        val others = otherOwners()
+        for (job in running) sim.trace("$name tells ${others.sorted()} that job $job runs")
+        for (job in waiting) sim.trace("$name tells ${others.sorted()} that job $job waits")
+        others.forEach { send(it, PeerMessage.ActiveRuns(running = running, waiting = waiting)) }
+    }
+
+    override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
+        sendMoved(origin, job, progress, owner)
+
     override fun onFenced(failureDomain: String) = lose(setOf(failureDomain), isPlanned = false)
 
     override fun pause() {
