Wait for earlier runs of a job that another instance joins

A job that waits for capacity at one owner was joined by an instance whose owner before may have started it, and the report of that was ignored, so the job started beside those runs. The new test in ActiveRunTest started the task at once before.

The owner records the runs that the report leaves possible, as for a job that it resumes. A repeated message of the same request records nothing, since its runs are known here. An instance that was sent on with a job that nothing had started says so; if it is sent on again it no longer does, since the owner in between had runs for another instance.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -140,7 +140,9 @@
         val nowMs = nowMs()
         if (request.id in tables.cancelledJobs) return actions.jobEnded(origin, request.id, JobResult.Cancelled)
         val open = tables.jobs[request.id]
+        progress?.let { crashes.mergeAll(it.histories, nowMs) }
         if (open != null) {
+            if (progress != null && origin !in open.origins) recordPriorRuns(open, progress, nowMs)
             open.addOrigin(origin, nowMs - renewedMsAgo, nowMs)
             log.event(
                 "dispatch", "job-joined", "job", request.id, "origin", origin.instance, "waitedMs", waitedMs,
@@ -148,7 +150,6 @@
             )
             return
         }
-        progress?.let { crashes.mergeAll(it.histories, nowMs) }
         val decision = admission.decide(request, nowMs - waitedMs, nowMs + timeoutMs, progress, nowMs)
         val job = when (decision) {
             is AdmissionDecision.Refused -> return refuse(request, origin, decision.result, nowMs)
@@ -176,11 +177,16 @@
         actions.jobEnded(origin, request.id, result)
     }
 
-    private fun resume(job: JobRow, progress: JobProgress, nowMs: Long) {
+    /** Runs that an earlier owner has started may go on. */
+    private fun recordPriorRuns(job: JobRow, progress: JobProgress, nowMs: Long) {
         job.highestPriorRun = maxOf(job.highestPriorRun, progress.highestRun)
+        takeover.recordPriorRuns(job, progress, nowMs)
+    }
+
+    private fun resume(job: JobRow, progress: JobProgress, nowMs: Long) {
         job.everDispatched = true
         job.isResumed = true
-        takeover.recordPriorRuns(job, progress, nowMs)
+        recordPriorRuns(job, progress, nowMs)
         progress.done.mapNotNull(job::task).forEach {
             it.state = TaskState.DONE
             job.openTasks--
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -57,6 +57,9 @@
         /** Whether it was sent again with the same number, so that a reply may be to either message. */
         var isRepeated = false
 
+        /** Whether it joined a job of another instance, whose runs no report to this one tells. */
+        var hasJoined = false
+
         /** Whether tasks may have been started after an earlier submission of the job that was not refused. */
         var mayHaveRun = false
 
@@ -204,10 +207,12 @@
         )
         // The owner may have accepted the job since, if it has received it twice.
         if (request.isRepeated) request.owner?.let { withdraw(request, it) }
-        request.progress = if (request.isRepeated) progress.copy(ordered = null) else progress
+        val isCertain = !request.isRepeated && !request.hasJoined
+        request.progress = if (isCertain) progress else progress.copy(ordered = null)
         request.owner = null
         if (openAt != null && ownerClient.isAlive(openAt) && ownerClient.isOwner(openAt)) {
             request.mayHaveRun = true
+            request.hasJoined = true
             send(request, openAt)
         } else {
             reroute(request)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -385,7 +385,7 @@
 
             dispatcher.ownedDomains.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
 
-            openAt != null && network.isAlive(openAt) -> sendMoved(origin, message.job.id, JobProgress(), openAt)
+            openAt != null && network.isAlive(openAt) -> sendMoved(origin, message.job.id, NOT_STARTED, openAt)
 
             else -> dispatcher.submit(
                 message.job,
@@ -489,6 +489,7 @@
     }
 
     private companion object {
+        val NOT_STARTED = JobProgress(ordered = emptyList())
         const val OWNERSHIP_TICK_MS = 50L
         const val DISPATCH_TICK_MS = 20L
         const val REGISTER_RETRY_MS = 300L
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/ActiveRunTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/ActiveRunTest.kt
@@ -55,6 +55,27 @@
         sim.results[JobId("j")] shouldBe JobResult.Complete
     }
 
+    /**
+     * Guards against a second run when a job that waits for capacity is joined by an instance whose owner before has
+     * started it.
+     */
+    @Test
+    fun `a job that is joined by one that may run elsewhere does not start beside those runs`() {
+        val sim = simulation(backends = 1)
+        sim.workMs = { 700 }
+        sim.submit(sim.job("first", tasks = 2, estimateMs = 700), timeoutMs = 20_000)
+        sim.run(untilMs = 200)
+        val waiting = sim.job("j", tasks = 1, estimateMs = 50)
+        sim.submit(waiting, timeoutMs = 20_000, progress = JobProgress(ordered = emptyList()))
+        sim.run(untilMs = 300)
+        val joined = JobProgress(highestRun = 7)
+        sim.dispatcher.submit(waiting, JobOrigin("i2", 1), timeoutMs = 20_000, progress = joined)
+        sim.run(untilMs = 300 + longestRunMs(DispatchSettings()))
+        sim.startsByTask[TaskKey(waiting.id, 0, 0)] shouldBe null
+        sim.run(untilMs = 3_000)
+        sim.startsByTask[TaskKey(waiting.id, 0, 0)] shouldBe 1
+    }
+
     /**
      * Guards against a start beside a run that the owner reads in every report and whose lease it extends, since the
      * job of the run was unknown when the run was to be stopped, and the stops were carried out late.
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -65,8 +65,20 @@
     fun `a job that is open at another owner is submitted there as one that may have run`() {
         owners += "b"
         submit()
-        entry.onMoved(sent.last().second.number, job.id, JobProgress(), openAt = "b")
+        entry.onMoved(sent.last().second.number, job.id, JobProgress(ordered = emptyList()), openAt = "b")
         sent.map { it.first } shouldContainExactly listOf("a", "b")
+        sent.last().second.progress shouldBe JobProgress(ordered = emptyList())
+    }
+
+    /** Guards against a start beside the runs for the instance that had submitted the job before this one. */
+    @Test
+    fun `a job that was open at another owner may have run wherever that one sends it`() {
+        owners += "b"
+        submit()
+        repeat(2) {
+            val openAt = if (it == 0) "b" else null
+            entry.onMoved(sent.last().second.number, job.id, JobProgress(ordered = emptyList()), openAt)
+        }
         sent.last().second.progress shouldBe JobProgress()
     }
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -222,7 +222,7 @@
 
             tokens.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
 
-            openAt != null && isAlive(openAt) -> sendMoved(origin, message.job.id, JobProgress(), openAt)
+            openAt != null && isAlive(openAt) -> sendMoved(origin, message.job.id, NOT_STARTED, openAt)
 
             else -> dispatcher.submit(
                 message.job,
@@ -282,6 +282,8 @@
     }
 
     private companion object {
+        val NOT_STARTED = JobProgress(ordered = emptyList())
+
         /** An owner that goes on after a pause learns from the store that it was replaced with its next renewal. */
         const val RECORD_READ_MS = 150L
         const val RECENT_MS = 300L
