Check the times of the platform that the dispatcher relies on

The wait of a caller, the time of a stop and the longest lease were constants; the settings of the platform were not read. A deployment with a shorter wait would run tasks twice without a word.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -74,4 +74,21 @@
     val crashConfirmationMs: Long = 300,
     val isolationShare: Double = 0.25,
     val historyRetentionMs: Long = 60_000,
-)
+) {
+    /**
+     * Returns what these times need of a deployment and do not get; tasks may run twice there.
+     *
+     * @param callerRepeatMs how long a caller waits at least before it sends a job again, in milliseconds.
+     * @param stopMs how long a run goes on at most after its stop was acknowledged, in milliseconds.
+     * @param maxLeaseMs longest lease that a backend server grants, in milliseconds.
+     */
+    public fun unmetNeeds(callerRepeatMs: Long, stopMs: Long, maxLeaseMs: Long): List<String> {
+        val longestMs = longestRunMs(this)
+        val longestLeaseMs = leaseMs + (idlePollWaitMs - pollWaitMs).coerceAtLeast(0)
+        return listOfNotNull(
+            "callers repeat after $callerRepeatMs ms, runs last $longestMs ms".takeIf { callerRepeatMs < longestMs },
+            "stops take $stopMs ms, $STOP_MARGIN_MS ms are expected".takeIf { stopMs > STOP_MARGIN_MS },
+            "leases last for $maxLeaseMs ms, $longestLeaseMs ms are used".takeIf { maxLeaseMs < longestLeaseMs },
+        )
+    }
+}
