Count the time in which a request may have waited unread

An instance adds the time since its tick before the last one to the age of a request, if that is long, and the owner announces such a job and waits for objections before it starts it. job-received shows unreadMs. EntryServiceTest and OpenJobsTest have the cases by themselves.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -124,6 +124,9 @@
     var firstDispatchedAtMs = 0L
     var queuedTasks = 0
 
+    /** Earliest time at which the caller may have sent it. */
+    var earliestArrivalMs = arrivedAtMs
+
     /** Time of the first and of the last of the present series of messages that it is open, see [OpenJobSystem]. */
     var announcedSinceMs = NEVER_MS
     var announcedAtMs = NEVER_MS
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -128,6 +128,7 @@
      * @param waitedMs how long the caller has waited already.
      * @param progress progress of the job under a previous owner; null if the job is new.
      * @param renewedMsAgo time since [origin] has certainly waited for the job, see [renew].
+     * @param unreadMs how long the request may have waited at [origin] before it was read, in addition to [waitedMs].
      */
     public fun submit(
         request: JobRequest,
@@ -136,6 +137,7 @@
         waitedMs: Long = 0,
         progress: JobProgress? = null,
         renewedMsAgo: Long = 0,
+        unreadMs: Long = 0,
     ) {
         val nowMs = nowMs()
         if (request.id in tables.cancelledJobs) return actions.jobEnded(origin, request.id, JobResult.Cancelled)
@@ -144,6 +146,7 @@
         if (open != null) {
             if (progress != null && origin !in open.origins) recordPriorRuns(open, progress, nowMs)
             open.addOrigin(origin, nowMs - renewedMsAgo, nowMs)
+            open.earliestArrivalMs = minOf(open.earliestArrivalMs, nowMs - waitedMs - unreadMs)
             log.event(
                 "dispatch", "job-joined", "job", request.id, "origin", origin.instance, "waitedMs", waitedMs,
                 "origins", open.origins.map { it.instance }, "openForMs", nowMs - open.arrivedAtMs,
@@ -156,6 +159,7 @@
             is AdmissionDecision.Admitted -> decision.job
         }
         job.addOrigin(origin, nowMs - renewedMsAgo, nowMs)
+        job.earliestArrivalMs = nowMs - waitedMs - unreadMs
         crashes.assignHistories(job)
         tables.jobs[request.id] = job
         job.highestPriorRun = job.allTasks().maxOfOrNull { tables.runs.highestRun(it.key) } ?: 0
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -40,6 +40,8 @@
         val job: JobRequest,
         val requestId: String,
         val arrivedAtMs: Long,
+        /** How long it may have waited unread before [arrivedAtMs]. */
+        val unreadMs: Long,
         val deadlineMs: Long,
         val onResult: (JobResult) -> Unit,
     ) {
@@ -78,8 +80,17 @@
 
     public val openRequests: Int get() = pending.size
 
+    private var tickedAtMs = 0L
+    private var previousTickAtMs = 0L
+
     private fun nowMs() = elapsed.nowMs()
 
+    /**
+     * How long a request that is read now may have waited, if this process has just been paused. The first tick after a
+     * pause may come before the requests are read that have arrived during it.
+     */
+    private fun unreadMs(nowMs: Long): Long = (nowMs - previousTickAtMs).takeIf { it > PAUSE_MS } ?: 0
+
     /** Runs [job] and calls [onResult] once. Returns the handle for [cancel]. */
     public fun submit(
         job: JobRequest,
@@ -88,12 +99,14 @@
         onResult: (JobResult) -> Unit,
     ): Long {
         val nowMs = nowMs()
-        val request = PendingRequest(nextNumber++, job, requestId, nowMs, nowMs + timeoutMs, onResult)
+        val unreadMs = unreadMs(nowMs)
+        val request = PendingRequest(nextNumber++, job, requestId, nowMs, unreadMs, nowMs + timeoutMs, onResult)
         pending[request.handle] = request
         val owner = ownerClient.ownerOrNull()
         log.event(
             "entry", "job-received", "request", requestId, "job", job.id, "queue", job.queue,
             "tasks", job.steps.sumOf { it.taskCount }, "timeoutMs", timeoutMs, "owner", owner, "entry", request.handle,
+            "unreadMs", unreadMs,
         )
         if (owner == null) {
             finish(
@@ -162,6 +175,7 @@
             timeoutMs = (request.deadlineMs - nowMs).coerceAtLeast(0),
             waitedMs = nowMs - request.arrivedAtMs,
             progress = progress,
+            unreadMs = request.unreadMs,
         )
         ownerClient.submit(owner, message)
         // From now on this owner may start any task, which the report of an earlier owner doesn't tell.
@@ -265,6 +279,8 @@
     /** Resubmits jobs whose owner is lost and abandons jobs whose caller's deadline has passed. */
     public fun tick() {
         val nowMs = nowMs()
+        previousTickAtMs = tickedAtMs
+        tickedAtMs = nowMs
         for (request in pending.values.toList()) {
             val owner = request.owner
             if (nowMs >= request.deadlineMs) {
@@ -305,6 +321,9 @@
     }
 
     private companion object {
+        /** Several ticks; a loaded instance is rarely later. */
+        const val PAUSE_MS = 300L
+
         /** Several heartbeat intervals. */
         const val HANDOVER_WAIT_MS = 300L
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -394,6 +394,7 @@
                 message.waitedMs,
                 message.progress,
                 renewedMsAgo(instance, message),
+                message.unreadMs,
             )
         }
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -65,7 +65,7 @@
      */
     fun mayStart(job: JobRow, nowMs: Long): Boolean = when {
         !isReady(nowMs) -> false
-        nowMs - job.arrivedAtMs < settings.earliestRepeatMs -> true
+        nowMs - job.earliestArrivalMs < settings.earliestRepeatMs -> true
         else -> nowMs - job.announcedSinceMs >= settings.objectionMs && !isSeriesOver(job, nowMs)
     }
 
@@ -74,7 +74,7 @@
     /** Another instance has become an owner, and waits to be told of the jobs here, also if there are none. */
     fun announceNow() {
         val nowMs = clock.nowMs()
-        val old = tables.jobs.values.filter { nowMs - it.arrivedAtMs >= settings.announceAfterMs }
+        val old = tables.jobs.values.filter { nowMs - it.earliestArrivalMs >= settings.announceAfterMs }
         if (old.isEmpty()) actions.jobsOpen(emptyList(), emptyList()) else announce(old, nowMs)
     }
 
@@ -86,7 +86,7 @@
         announce(tables.jobs.values.filter { isDue(it, nowMs) }, nowMs)
     }
 
-    private fun isDue(job: JobRow, nowMs: Long) = nowMs - job.arrivedAtMs >= settings.announceAfterMs &&
+    private fun isDue(job: JobRow, nowMs: Long) = nowMs - job.earliestArrivalMs >= settings.announceAfterMs &&
         nowMs - job.announcedAtMs >= settings.announceIntervalMs
 
     private fun announce(jobs: List<JobRow>, nowMs: Long) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -53,6 +53,7 @@
      * @property progress progress of the job under a previous owner; null if no previous owner can have started a task.
      * @property heardAtMs [Heartbeat.sentAtMs] of the receiver's last heartbeat that the sender has received; null if
      *   it has received none.
+     * @property unreadMs how long the request may have waited before the sender has read it, in addition to [waitedMs].
      */
     @Serializable
     @SerialName("submit")
@@ -63,6 +64,7 @@
         val waitedMs: Long,
         val progress: JobProgress? = null,
         val heardAtMs: Long? = null,
+        val unreadMs: Long = 0,
     ) : PeerMessage
 
     /** Withdraws a submitted job whose caller has disconnected. */
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
@@ -8,7 +8,8 @@
  * handovers.
  *
  * @param leavesUnnoticed whether entries learn only seconds later that a client has left, so that two entries wait for
- *   its job. Otherwise a client sends its job again only after the entry that held it has dropped it.
+ *   its job, also if they read it only after a pause. Otherwise a client sends its job again only after the entry that
+ *   held it has dropped it.
  * @param cutsLinks whether links between instances are cut.
  */
 internal class EntryConcurrentRunScenario(
@@ -27,23 +28,33 @@
     /** A caller with one job, which it sends until the job is complete. */
     private inner class Client(val request: JobRequest) {
         private var attempts = 0
-        private var handle = 0L
+
+        /** Handles of the requests that entries have read, by attempt. */
+        private val handles = HashMap<Int, Long>()
         var entry: SimulatedEntry? = null
             private set
 
         fun send() {
-            val next = running(entries).filterNot { it.isPaused }.randomOrNull(random) ?: return repeat()
+            val next = chooseEntry() ?: return repeat()
             entry = next
             val attempt = ++attempts
             val timeoutMs = random.nextLong(2_000, 3_000)
-            handle = next.service.submit(request, "${request.id}-$attempt", timeoutMs) { result ->
-                if (attempt == attempts && entry != null) {
-                    entry = null
-                    if (result != JobResult.Complete) repeat()
+            next.deliver {
+                handles[attempt] = next.service.submit(request, "${request.id}-$attempt", timeoutMs) { result ->
+                    if (attempt == attempts && entry != null) {
+                        entry = null
+                        if (result != JobResult.Complete) repeat()
+                    }
                 }
             }
         }
 
+        private fun chooseEntry(): SimulatedEntry? {
+            val (paused, others) = running(entries).partition { it.isPaused }
+            val waits = leavesUnnoticed && paused.isNotEmpty() && random.nextBoolean()
+            return (if (waits) paused else others).randomOrNull(random)
+        }
+
         /** Sends the job again later. Called when no entry holds it. */
         private fun repeat() {
             if (attempts < MAX_ATTEMPTS) sim.after(REPEAT_MS + random.nextLong(REPEAT_SPREAD_MS)) { send() }
@@ -52,19 +63,19 @@
         /** The connection breaks. The entry drops the job when it notices that, which may be after a pause. */
         fun disconnect() {
             val holder = entry ?: return
-            val dropped = handle
+            val dropped = attempts
             if (leavesUnnoticed) {
                 entry = null
                 repeat()
                 sim.after(random.nextLong(MIN_UNNOTICED_MS, MAX_UNNOTICED_MS)) {
-                    holder.deliver { holder.service.cancel(dropped) }
+                    holder.deliver { handles[dropped]?.let(holder.service::cancel) }
                 }
                 return
             }
             holder.deliver {
-                if (entry === holder && handle == dropped) {
+                if (entry === holder && attempts == dropped) {
                     entry = null
-                    holder.service.cancel(dropped)
+                    handles[dropped]?.let(holder.service::cancel)
                     repeat()
                 }
             }
@@ -164,7 +175,7 @@
 
     private fun pause(candidates: List<SimulatedProcess>) {
         val process = candidates.filterNot { it.isPaused }.randomOrNull(random) ?: return
-        val forMs = random.nextLong(200, 1_500)
+        val forMs = random.nextLong(200, if (leavesUnnoticed) 3_000 else 1_500)
         fault("pause of ${process.name} for $forMs ms")
         process.pause()
         sim.after(forMs) {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -92,6 +92,23 @@
         sent.map { it.first } shouldContainExactly listOf("a", "a")
     }
 
+    /** Guards against an old request that is taken for a new one, since the process was paused when it arrived. */
+    @Test
+    fun `a request that is read after a pause may have waited during it`() {
+        repeat(4) { advance(ms = 50) }
+        submit()
+        sent.last().second.unreadMs shouldBe 0
+        clock += 2_000.milliseconds
+        submit()
+        sent.last().second.unreadMs shouldBe 2_050
+        entry.tick()
+        submit()
+        sent.last().second.unreadMs shouldBe 2_000
+        advance(ms = 50)
+        submit()
+        sent.last().second.unreadMs shouldBe 0
+    }
+
     /** Guards against a restarted owner that starts tasks beside the runs of its previous process. */
     @Test
     fun `a job that is submitted again to a restarted owner may have run`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
@@ -74,6 +74,18 @@
         sim.moved shouldContainExactly listOf(request.id to "o0")
     }
 
+    /** Guards against an old request that was read late, of which another owner runs the second submission. */
+    @Test
+    fun `a job that may have waited unread does not start beside one that is open elsewhere`() {
+        submit(second, "i2")
+        sim.run(sim.nowMs + 100)
+        val origin = JobOrigin("i1", 1)
+        first.dispatcher.submit(request, origin, timeoutMs = 60_000, waitedMs = 10, unreadMs = 1_500)
+        sim.run(sim.nowMs + 300)
+        sim.startsByTask[task] shouldBe 1
+        sim.moved shouldContainExactly listOf(request.id to "o1")
+    }
+
     /** Guards against an owner that has just taken over and knows of no open job. */
     @Test
     fun `a new owner starts no job before the other owners have told it of theirs`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -231,6 +231,7 @@
                 message.waitedMs,
                 message.progress,
                 renewedMsAgo(instance, message),
+                message.unreadMs,
             )
         }
     }
