Do not give a task up for a crash that may have come before its start

The task had been beside others on one crashed backend server and was then alone on a second one, whose process ended before it had confirmed the start.

A loss now says whether the run was confirmed. Only confirmed ones count for the two after which a task is given up; all count for the three. The new test in CrashingTaskTest got failed before. Starts stay bounded as before (CrashingTaskPropertyTest and CrashingTaskOwnerLossTest).

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -34,7 +34,7 @@
         if (evidence == CrashEvidence.REPLACED) proveLosses(row, nowMs) { it.incarnation == row.info.incarnation }
     }
 
-    private fun record(row: BackendRow, runs: Map<TaskKey, Int>, evidence: CrashEvidence, nowMs: Long) {
+    private fun record(row: BackendRow, runs: Map<TaskKey, LostRun>, evidence: CrashEvidence, nowMs: Long) {
         if (runs.isEmpty()) return
         if (row.info.draining) {
             log.event("backend", "crash-ignored", "backend", row.info.id, "reason", "draining", "tasks", runs.size)
@@ -44,7 +44,8 @@
         val isProven = evidence != CrashEvidence.SILENT
         val crash = crashOf(row, wasAlone, isJoint = false, isProven)
         val changed = runs.mapNotNull { (task, run) ->
-            merge(TaskHistory(task, crashes = listOf(crash.copy(run = run))), nowMs)
+            val ofRun = crash.copy(run = run.run, isConfirmed = run.isConfirmed)
+            merge(TaskHistory(task, crashes = listOf(ofRun)), nowMs)
         }
         for (history in changed) {
             log.event(
@@ -92,7 +93,8 @@
         if (!isJointLoss(row, lost)) return
         val crash = crashOf(row, wasAlone = false, isJoint = true, isProven = false)
         val cleared = row.runs.filterKeys { tables.histories.find(it) != null }.mapNotNull { (task, run) ->
-            merge(TaskHistory(task, crashes = listOf(crash.copy(run = run))), nowMs)
+            val ofRun = crash.copy(run = run.run, isConfirmed = run.isConfirmed)
+            merge(TaskHistory(task, crashes = listOf(ofRun)), nowMs)
         }
         if (cleared.isEmpty()) return
         log.event("backend", "joint-loss", "backend", row.info.id, "rack", row.info.rack, "lost", lost.size)
@@ -199,7 +201,8 @@
     fun resultOrNull(task: TaskRow): JobResult.Failed? {
         val history = task.history ?: return null
         val crashes = history.provenCrashes
-        val isLikelyCause = crashes.size >= settings.crashesOfCause && crashes.any { it.wasAlone && !it.isJoint }
+        val confirmed = crashes.filter { it.isConfirmed }
+        val isLikelyCause = confirmed.size >= settings.crashesOfCause && confirmed.any { it.wasAlone && !it.isJoint }
         return when {
             history.failures >= task.job.queue.maxAttempts -> JobResult.Failed(
                 "a task has failed ${task.failures} times",
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -224,10 +224,11 @@
     var reservedFor: TaskRow? = null
 
     /** Runs whose leases have expired while the backend server was silent. It may turn out to have crashed. */
-    var lapsedRuns: Map<TaskKey, Int> = emptyMap()
+    var lapsedRuns: Map<TaskKey, LostRun> = emptyMap()
 
-    /** Numbers of the runs of [tasks]. */
-    val runs: Map<TaskKey, Int> get() = tasks.mapValues { it.value.run }
+    /** The runs of [tasks]. */
+    val runs: Map<TaskKey, LostRun>
+        get() = tasks.mapValues { (_, task) -> LostRun(task.run, isConfirmed = task.state == TaskState.RUNNING) }
 
     /** Estimated speed; run times are inversely proportional to it. */
     var speed = 1.0
@@ -280,6 +281,9 @@
     fun backendClockMs(nowMs: Long): Long? = clockOffsetMs?.let { it + nowMs }
 }
 
+/** A run that may be lost with its backend server, which may not have executed the start unless [isConfirmed]. */
+internal class LostRun(val run: Int, val isConfirmed: Boolean)
+
 /** A run reported by a backend server that belongs to no job here. */
 internal class UnknownRun(val run: Int, val firstReportedMs: Long, var stopSentAtMs: Long = NEVER_MS) {
     /** Time of the first report that lists neither the run nor its end. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
@@ -12,6 +12,7 @@
  * @property isRefuted whether the process was reached again.
  * @property address where the process was reached, see [BackendInfo.address]. A process that replaces it may have
  *   another id.
+ * @property isConfirmed whether the run was known to be active. Otherwise the process may have ended before its start.
  * @property run the run that was lost. Once that is refuted, a later run may still be lost with the same process.
  */
 @Serializable
@@ -24,6 +25,7 @@
     public val isRefuted: Boolean = false,
     public val address: String = "",
     public val run: Int = 0,
+    public val isConfirmed: Boolean = true,
 )
 
 /**
@@ -64,6 +66,7 @@
         isJoint = one.isJoint || other.isJoint,
         isProven = one.isProven || other.isProven,
         isRefuted = one.isRefuted || other.isRefuted,
+        isConfirmed = one.isConfirmed || other.isConfirmed,
         address = maxOf(one.address, other.address),
     )
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrashingTaskTest.kt
@@ -40,6 +40,24 @@
         sim.results[JobId("guilty")].shouldBeInstanceOf<JobResult.Failed>()
     }
 
+    /** Guards against giving up a task for a crash that may have come before its start, which was never confirmed. */
+    @Test
+    fun `a task whose start was not confirmed is not given up for the loss of that backend server`() {
+        val sim = simulation()
+        val innocent = TaskKey(JobId("innocent"), 0, 0)
+        sim.workMs = { 200 }
+        sim.submit(sim.job("innocent", tasks = 1, estimateMs = 200), timeoutMs = 60_000)
+        sim.run(untilMs = 150)
+        sim.backends.values.single { innocent in it.running }.stopProcess()
+        var ordered: String? = null
+        sim.lateByMs = { command -> 60_000L.also { ordered = command.backend.id } }
+        while (ordered == null) sim.run(sim.nowMs + 10)
+        sim.lateByMs = { null }
+        sim.backends.getValue(ordered.orEmpty()).stopProcess()
+        sim.run(sim.nowMs + 5_000)
+        sim.results[innocent.job] shouldBe JobResult.Complete
+    }
+
     /** Guards against placing the tasks of a crashed backend server together again, which loses the others twice. */
     @Test
     fun `tasks beside a crashing task are lost at most once`() {
