Move what owners tell each other out of the instance

OwnerReports has the messages between owners on runs and open jobs, and when a new owner is told. No change of behaviour.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -35,15 +35,11 @@
     private val results = RecentResults(clock)
     private val lostInstances = HashSet<String>()
 
-    /** The other owners that have been told of the runs that remain here. */
-    private var informedOwners: Set<String> = emptySet()
-
     /** Peers that don't reach the store and have received the members from this instance. */
     private val withoutStore = HashSet<String>()
     private val listing = BackendListing(clock)
     private var leaving = false
     private var lastTickAtMs = 0L
-    private var ownerSinceMs = NEVER_MS
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
@@ -54,6 +50,7 @@
         heartbeatOf = network::heartbeatOf,
         ownLoadPercent = dispatcher::loadPercent,
     )
+    private val ownerReports = OwnerReports(settings.self.instance, dispatcher, selection, network, log)
 
     /** Open requests of this instance's callers. */
     public val entry: EntryService = EntryService(clock, ownerClient, log)
@@ -163,7 +160,7 @@
         }
         renewJobs()
         if (listing.removeExpired()) applyListing()
-        if (dispatcher.ownedDomains.isNotEmpty()) informNewOwners(selection.otherOwners())
+        ownerReports.informNewOwners()
         entry.tick()
     }
 
@@ -176,18 +173,6 @@
         dispatcher.withdrawUnrenewed().forEach { (origin, job, progress) -> sendMoved(origin, job, progress) }
     }
 
-    private fun informNewOwners(others: Set<String>) {
-        val remaining = if (others.all { it in informedOwners }) emptyList() else dispatcher.remainingRuns()
-        if (remaining.isNotEmpty()) sendActiveRuns(others - informedOwners, remaining)
-        if (!informedOwners.containsAll(others)) dispatcher.openJobSystem.announceNow()
-        informedOwners = others
-    }
-
-    private fun sendActiveRuns(owners: Set<String>, tasks: List<TaskKey>) {
-        log.event("dispatch", "runs-remain", "tasks", tasks.size, "first", tasks.first(), "owners", owners.size)
-        owners.forEach { network.send(it, PeerMessage.ActiveRuns(tasks)) }
-    }
-
     /**
      * Owners watch the list of backend servers, and so do instances that are about to claim a failure domain, since a
      * new owner refuses all jobs until it knows the list.
@@ -265,13 +250,9 @@
 
     private inner class OwnershipChanges : OwnershipListener {
         override fun onAcquired(failureDomain: String, token: Long, wasReleased: Boolean) {
-            if (dispatcher.ownedDomains.isEmpty()) ownerSinceMs = dispatcher.nowMs()
+            val wasOwner = dispatcher.ownedDomains.isNotEmpty()
             dispatcher.acquire(failureDomain, token, wasReleased)
-            // Several failure domains may be acquired together.
-            val isNewOwner = dispatcher.nowMs() - ownerSinceMs < CLAIM_MS
-            if (isNewOwner && network.views().isNotEmpty()) {
-                dispatcher.openJobSystem.onAcquired(selection.otherPossibleOwners(), wasReleased)
-            }
+            ownerReports.onAcquired(wasOwner, wasReleased)
             dispatcher.updateBackends(listing.backends)
             network.sendHeartbeatNow()
             dispatcher.tick()
@@ -330,12 +311,9 @@
         override fun historiesChanged(histories: List<TaskHistory>) =
             network.broadcast(PeerMessage.Histories(histories))
 
-        override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(selection.otherOwners(), tasks)
+        override fun runsRemain(tasks: List<TaskKey>) = ownerReports.runsRemain(tasks)
 
-        override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
-            val message = PeerMessage.ActiveRuns(running = running, waiting = waiting)
-            selection.otherOwners().forEach { network.send(it, message) }
-        }
+        override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) = ownerReports.jobsOpen(running, waiting)
 
         override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
             sendMoved(origin, job, progress, owner)
@@ -438,19 +416,13 @@
 
                 is PeerMessage.Histories -> dispatcher.learn(message.histories)
 
-                is PeerMessage.ActiveRuns -> onActiveRuns(peer, message)
+                is PeerMessage.ActiveRuns -> ownerReports.onReceived(peer.instance, message)
 
                 is PeerMessage.Members ->
                     message.members.filter { it.instance != self.instance }.forEach(network::addMember)
             }
         }
 
-        private fun onActiveRuns(peer: PeerMember, message: PeerMessage.ActiveRuns) {
-            dispatcher.learnActiveRuns(message.tasks)
-            val hasPrecedence = peer.instance < self.instance
-            dispatcher.openJobSystem.onAnnounced(peer.instance, message.running, message.waiting, hasPrecedence)
-        }
-
         private fun onHeartbeat(peer: PeerMember, heartbeat: PeerMessage.Heartbeat) {
             heartbeat.renewal?.let { renewal ->
                 network.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer.instance, renewal.requests, it) }
@@ -461,8 +433,7 @@
             } else if (withoutStore.add(peer.instance)) {
                 network.send(peer.instance, PeerMessage.Members(network.members() + self))
             }
-            val isNewOwner = heartbeat.owned.isNotEmpty() && peer.instance !in informedOwners
-            if (isNewOwner && dispatcher.ownedDomains.isNotEmpty()) informNewOwners(selection.otherOwners())
+            if (heartbeat.owned.isNotEmpty()) ownerReports.onOwnerHeard(peer.instance)
             val current = configuration ?: return
             if (heartbeat.configurationVersion < current.version) {
                 network.send(peer.instance, PeerMessage.Configuration(current))
@@ -498,9 +469,6 @@
         /** A job that was renewed within this time starts at once on most backend servers. */
         const val RECENT_MS = 300L
 
-        /** The failure domains of a lost owner are acquired within this time. */
-        const val CLAIM_MS = 50L
-
         /** Longer than any lease. */
         const val UNKNOWN_AGE_MS = 60_000L
 
--- /dev/null
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -0,0 +1,66 @@
+package medlarroute.dispatch
+
+/**
+ * What the owners tell each other: runs that go on although their jobs are unknown or have ended, and jobs that are
+ * open for long. A new owner is told at once.
+ */
+internal class OwnerReports(
+    private val instance: String,
+    private val dispatcher: Dispatcher,
+    private val selection: OwnerSelection,
+    private val network: PeerNetwork,
+    private val log: EventLog,
+) {
+    /** The other owners that have been told of the runs and jobs here. */
+    private var informedOwners: Set<String> = emptySet()
+    private var ownerSinceMs = NEVER_MS
+
+    /** This instance has acquired a failure domain, and may not have owned one before. */
+    fun onAcquired(wasOwner: Boolean, wasReleased: Boolean) {
+        if (!wasOwner) ownerSinceMs = dispatcher.nowMs()
+        // Several failure domains may be acquired together.
+        val isNewOwner = dispatcher.nowMs() - ownerSinceMs < CLAIM_MS
+        if (isNewOwner && network.views().isNotEmpty()) {
+            dispatcher.openJobSystem.onAcquired(selection.otherPossibleOwners(), wasReleased)
+        }
+    }
+
+    fun onOwnerHeard(owner: String) {
+        if (owner !in informedOwners) informNewOwners()
+    }
+
+    /** Tells owners that have appeared since the last call. */
+    fun informNewOwners() {
+        if (dispatcher.ownedDomains.isEmpty()) return
+        val others = selection.otherOwners()
+        val new = others - informedOwners
+        informedOwners = others
+        if (new.isEmpty()) return
+        val remaining = dispatcher.remainingRuns()
+        if (remaining.isNotEmpty()) sendRuns(new, remaining)
+        dispatcher.openJobSystem.announceNow()
+    }
+
+    fun runsRemain(tasks: List<TaskKey>) = sendRuns(selection.otherOwners(), tasks)
+
+    private fun sendRuns(owners: Set<String>, tasks: List<TaskKey>) {
+        log.event("dispatch", "runs-remain", "tasks", tasks.size, "first", tasks.first(), "owners", owners.size)
+        owners.forEach { network.send(it, PeerMessage.ActiveRuns(tasks)) }
+    }
+
+    fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
+        val message = PeerMessage.ActiveRuns(running = running, waiting = waiting)
+        selection.otherOwners().forEach { network.send(it, message) }
+    }
+
+    fun onReceived(owner: String, message: PeerMessage.ActiveRuns) {
+        dispatcher.learnActiveRuns(message.tasks)
+        val hasPrecedence = owner < instance
+        dispatcher.openJobSystem.onAnnounced(owner, message.running, message.waiting, hasPrecedence)
+    }
+
+    private companion object {
+        /** The failure domains of a lost owner are acquired within this time. */
+        const val CLAIM_MS = 50L
+    }
+}
