Wait for a silent owner only until its runs have ended

Suspected cause, read from the code: in a domain that is cut off, the new owner waited 1.27 s for the silent owner of the others before it started anything, although that one can't tell it of its jobs.

A silent owner is now awaited until 1.08 s after its last message, and only where each failure domain has its own owner; a single owner that is silent is cut off or has died, and its successor owns all domains.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -22,9 +22,8 @@
     private val openElsewhere = HashMap<JobId, OpenElsewhere>()
     private var announcedAtMs = NEVER_MS
 
-    /** The other owners that have not yet told which jobs are open there, and how long this instance waits for them. */
-    private val awaitedOwners = HashSet<String>()
-    private var awaitedUntilMs = NEVER_MS
+    /** The other owners that have not yet told which jobs are open there, with the end of the wait for each. */
+    private val awaitedUntilMs = HashMap<String, Long>()
 
     /** End of the time in which instances submit the jobs of a lost owner. */
     private var resubmissionsUntilMs = NEVER_MS
@@ -32,20 +31,20 @@
     /**
      * This instance has become an owner. It starts no new job before it knows of the jobs that are open elsewhere.
      *
-     * @param otherOwners the other owners, and those that are silent and may live.
+     * @param heardMsAgo the other owners, and those that are silent and may live, with the time since the last message
+     *   of each. Runs of one that has stopped end with their leases.
      * @param wasReleased whether the previous owner has told the instances that wait for its jobs.
      */
-    fun onAcquired(otherOwners: Set<String>, wasReleased: Boolean) {
+    fun onAcquired(heardMsAgo: Map<String, Long>, wasReleased: Boolean) {
         val nowMs = clock.nowMs()
-        awaitedOwners.clear()
-        awaitedOwners += otherOwners
-        awaitedUntilMs = nowMs + longestRunMs(settings)
+        awaitedUntilMs.clear()
+        heardMsAgo.mapValuesTo(awaitedUntilMs) { (_, agoMs) -> nowMs + MAX_LEASE_MS + STOP_MARGIN_MS - agoMs }
         if (!wasReleased) resubmissionsUntilMs = nowMs + settings.resubmissionMs
     }
 
     private fun isReady(nowMs: Long): Boolean {
-        if (nowMs >= awaitedUntilMs) awaitedOwners.clear()
-        return awaitedOwners.isEmpty() && nowMs >= resubmissionsUntilMs
+        awaitedUntilMs.values.removeIf { nowMs >= it }
+        return awaitedUntilMs.isEmpty() && nowMs >= resubmissionsUntilMs
     }
 
     /** The owner other than this instance at which [job] is open; null if there is none, or the job is open here. */
@@ -107,7 +106,7 @@
      */
     fun onAnnounced(owner: String, running: List<JobId>, waiting: List<JobId>, hasPrecedence: Boolean) {
         val nowMs = clock.nowMs()
-        awaitedOwners -= owner
+        awaitedUntilMs -= owner
         val untilMs = nowMs + longestRunMs(settings)
         val objections = ArrayList<JobRow>(0)
         for (id in running + waiting) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -21,7 +21,8 @@
         // Several failure domains may be acquired together.
         val isNewOwner = dispatcher.nowMs() - ownerSinceMs < CLAIM_MS
         if (isNewOwner && network.views().isNotEmpty()) {
-            dispatcher.openJobSystem.onAcquired(selection.otherPossibleOwners(), wasReleased)
+            val heardMsAgo = selection.otherPossibleOwners().associateWith(network::heartbeatAgeMs)
+            dispatcher.openJobSystem.onAcquired(heardMsAgo, wasReleased)
         }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
@@ -24,8 +24,12 @@
     fun otherOwners(): Set<String> =
         owners().mapTo(HashSet()) { it.member.instance }.also { it -= own().member.instance }
 
-    /** The other owners, and silent instances that own failure domains which no reachable instance owns. */
+    /**
+     * The other owners. If each failure domain has its own, also silent instances that own one which no reachable
+     * instance owns.
+     */
     fun otherPossibleOwners(): Set<String> {
+        if (!isPerDomain()) return otherOwners()
         val covered = owners().flatMapTo(HashSet()) { it.owned.keys }
         val silent = peers().filter { it.state != PeerState.ALIVE && !covered.containsAll(it.owned.keys) }
         return otherOwners() + silent.map { it.member.instance }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -139,6 +139,10 @@
     public fun heardAtMsOrNull(instance: String): Long? =
         peers[instance]?.takeIf { it.heartbeatReceivedAtMs != NEVER_MS }?.heartbeat?.sentAtMs
 
+    /** Time since the last heartbeat of [instance]; very long if there is none. */
+    internal fun heartbeatAgeMs(instance: String): Long =
+        nowMs() - (peers[instance]?.heartbeatReceivedAtMs ?: NEVER_MS)
+
     /** Time since this instance has sent the heartbeat with [sentAtMs]; null if another process has sent it. */
     public fun ageMsOrNull(sentAtMs: Long): Long? = peerClock.ageMsOrNull(sentAtMs)
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -121,7 +121,10 @@
         val isFirst = tokens.isEmpty()
         tokens[failureDomain] = token
         dispatcher.acquire(failureDomain, token)
-        if (isFirst) dispatcher.openJobSystem.onAcquired(selection.otherPossibleOwners(), wasReleased = false)
+        if (isFirst) {
+            val heardMsAgo = selection.otherPossibleOwners().associateWith(::heartbeatAgeMs)
+            dispatcher.openJobSystem.onAcquired(heardMsAgo, wasReleased = false)
+        }
         updateBackends()
         sendHeartbeatNow()
         dispatcher.tick()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
@@ -135,6 +135,9 @@
         peers[peer]?.connection?.send(this, message)
     }
 
+    protected fun heartbeatAgeMs(peer: String): Long =
+        sim.nowMs - (peers[peer]?.heartbeatReceivedAtMs ?: NEVER_MS)
+
     protected fun heardAtMsOrNull(peer: String): Long? =
         peers[peer]?.takeIf { it.heartbeatReceivedAtMs != NEVER_MS }?.heartbeat?.sentAtMs
 
