Keep a field that instances of earlier versions require

Found in reading: the message on open jobs left its empty list of tasks out, and an instance of an earlier version closes a connection on which it receives a message that lacks a required field.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -50,7 +50,7 @@
     }
 
     fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
-        val message = PeerMessage.ActiveRuns(running = running, waiting = waiting)
+        val message = PeerMessage.ActiveRuns(tasks = emptyList(), running, waiting)
         selection.otherOwners().forEach { network.send(it, message) }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -121,14 +121,14 @@
      * What the receiver must not run.
      *
      * @property tasks tasks of which a run goes on at the sender's backend servers, although its job is unknown or has
-     *   ended.
+     *   ended. Instances of earlier versions require it.
      * @property running jobs that are open at the sender and have runs.
      * @property waiting jobs that are open at the sender and have no run.
      */
     @Serializable
     @SerialName("active")
     public data class ActiveRuns(
-        val tasks: List<TaskKey> = emptyList(),
+        val tasks: List<TaskKey>,
         val running: List<JobId> = emptyList(),
         val waiting: List<JobId> = emptyList(),
     ) : PeerMessage
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -258,7 +258,7 @@
         val others = otherOwners()
         for (job in running) sim.trace("$name tells ${others.sorted()} that job $job runs")
         for (job in waiting) sim.trace("$name tells ${others.sorted()} that job $job waits")
-        others.forEach { send(it, PeerMessage.ActiveRuns(running = running, waiting = waiting)) }
+        others.forEach { send(it, PeerMessage.ActiveRuns(tasks = emptyList(), running, waiting)) }
     }
 
     override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
