Log the suspension of a machine

Callers have seen tasks run twice, and nothing in the logs tells a machine that was suspended from one that ran all the time.

CLOCK_BOOTTIME counts the time of a suspension and the steady clock doesn't (DEPLOY.md, Clocks).

All ages and waits are still measured by the steady clock.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoopGroup
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
-import kotlin.time.TimeSource
 
 /**
  * One instance of the deployment: accepts the jobs of its callers, and runs the jobs of all instances on the backend
@@ -16,9 +15,11 @@
     private val group: EventLoopGroup,
     private val store: FleetStore,
     private val commands: BackendCommands,
-    private val clock: TimeSource.WithComparableMarks,
+    clocks: MachineClocks,
     private val log: EventLog,
 ) {
+    private val clock = clocks.elapsed
+    private val suspensions = SuspensionMonitor(clocks)
     private var self = settings.self
     private val network = PeerNetwork({ self }, settings.network, group, clock, PeerMessageHandler(), log)
     private val dispatcher =
@@ -140,7 +141,17 @@
         dispatcher.configure(next)
     }
 
+    private fun logSuspension() {
+        val suspendedMs = suspensions.newlySuspendedMs()
+        if (suspendedMs == 0L) return
+        log.event(
+            "instance", "suspended", "forMs", suspendedMs,
+            "openRequests", entry.openRequests, "openJobs", dispatcher.openJobs, "owned", dispatcher.ownedDomains,
+        )
+    }
+
     private fun ownershipTick() {
+        logSuspension()
         ownership.isPerDomain = network.members().size >= settings.perDomainOwnersFrom
         val peers = network.views()
         // Until the size of the deployment is known, an instance may claim failure domains that it has to release
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
@@ -48,7 +48,7 @@
             group,
             Store(group),
             Commands(group),
-            TimeSource.Monotonic,
+            MachineClocks(TimeSource.Monotonic, TimeSource.Monotonic),
         ) { _, _, _ -> }
 
         fun start() = fleet.start()
