Measure ages and waits by a clock that counts suspensions

Callers may see a task run twice at the same time: an owner whose machine was suspended for seconds wakes and takes the renewals of its jobs from before for recent ones, extends the leases of their runs or starts them again, while another owner runs them.

Cause: every time of an instance was measured by the steady clock, which does not count a suspension. So each age was too small and each wait too long by that time. The class is one of clocks: an age that another process relies on has to be measured by a clock that it, too, could read; here, one that counts all time.

One time source, CLOCK_BOOTTIME, now measures all of them: renewals, announcements, unread requests, ownership, lists, results, the grace period of a stop, and the time in the log. Two clocks, the steady one for waits and the time of day for ages, were ruled out: the time of day jumps, and each place would have to know which error is the safe one.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/MachineClocks.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/MachineClocks.kt
@@ -12,8 +12,11 @@
     public val steady: TimeSource.WithComparableMarks,
     public val sinceBoot: TimeSource.WithComparableMarks,
 ) {
-    /** Measures all ages and waits of the instance. */
-    public val elapsed: TimeSource.WithComparableMarks get() = steady
+    /**
+     * Measures all ages and waits of the instance. A renewal from before a suspension is as old as its sender takes it
+     * to be, and a wait ends when the other instances expect it to.
+     */
+    public val elapsed: TimeSource.WithComparableMarks get() = sinceBoot
 }
 
 /** Detects that the machine was suspended, by the difference between its [clocks]. Not thread-safe. */
