Add a failing test of a lease that a previous owner has granted

A new owner adopts the runs that it finds on a backend server, then starts a task there whose job may run for 0.2 s more. The lease that the previous owner granted goes on for 0.7 s, and the lease of a backend server covers all its runs. Another owner, to which the job was sent 0.75 s before, starts the task 120 ms before the run ends.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/RunRenewalTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/RunRenewalTest.kt
@@ -86,6 +86,29 @@
         submitToSecond(JobProgress())
     }
 
+    /**
+     * Guards against a start on a backend server whose lease the previous owner has granted for longer than the limit of
+     * the job, as after a handover to an instance that reads its messages late.
+     */
+    @Test
+    fun `a run that the next owner of a failure domain starts ends before another owner starts its task`() {
+        val late = sim.job("late", tasks = 1, cpuMillis = 1_000, estimateMs = 3_000)
+        sim.run(sim.nowMs + 300)
+        submit(second, late, "i2", JobProgress())
+        sim.run(sim.nowMs + 700)
+        val backend = sim.backends.getValue("near")
+        sim.replaceOwner(token = 2)
+        backend.leaseUntilMs = sim.nowMs + 700
+        val next = sim.owners.last()
+        sim.run(sim.nowMs + 50)
+        submit(next, request, "i1", JobProgress())
+        submit(next, sim.job("beside", tasks = 1, estimateMs = 3_000), "i3", JobProgress())
+        sim.silentInstances += "i4"
+        next.dispatcher.submit(late, JobOrigin("i4", 1), timeoutMs = 60_000, renewedMsAgo = 748)
+        sim.run(sim.nowMs + 3_000)
+        sim.concurrentRuns.shouldBeEmpty()
+    }
+
     private fun expectOneRunBeside() {
         sim.run(sim.nowMs + 4_000)
         sim.startsByTask[TaskKey(JobId("beside"), 0, 0)] shouldBe 1
