Count the lease of the previous owner before a start

Callers may see a task run twice at the same time after the owner of a failure domain has changed, most easily where the next owner reads its messages late: a submission that is 0.75 s old starts there, while the instance that sent it has gone on to another owner.

Cause: a start needs the lease of the backend server not to exceed the time for which the job may run. Only the leases that this owner had granted were looked at. On a backend server without runs, the first poll of the new owner hides that, since it grants the longest lease itself; where runs are found, it grants 0.2 s, and the lease of the previous owner goes on for 0.7 s. The class: a bound that is kept for what one owner does, in a place that two owners write to.

Now the first report of a backend server counts as a grant of the longest lease. A job that was renewed within the last 0.1 s starts as before; on backend servers without runs nothing changes.

RunRenewalTest: the task ran twice for 120 ms before, now it does not.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ActiveRunTable.kt
@@ -130,7 +130,10 @@
     /** Latest end of any lease that this owner has granted, on the dispatcher's clock. */
     var endMs = NEVER_MS
 
-    /** The same without the margin for errors of the estimated clock of the backend server. */
+    /**
+     * The same without the margin for errors of the estimated clock of the backend server, also for leases that the
+     * previous owner may have granted.
+     */
     var grantedUntilMs = NEVER_MS
 
     /** Latest end of a lease that another owner may have granted, on the dispatcher's clock. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -100,8 +100,7 @@
             losses.onReplaced(row, "incarnation ${report.incarnation} after ${row.info.incarnation}", nowMs)
         }
         row.info = row.info.copy(incarnation = report.incarnation)
-        // The previous owner may have granted a longer lease than this one grants first.
-        if (row.lastReportAtMs == NEVER_MS) tables.runs.recordForeignLease(row, nowMs + longestRunMs(settings))
+        if (row.lastReportAtMs == NEVER_MS) onFirstReport(row, nowMs)
         if (row.lastReportAtMs == NEVER_MS || row.isUnreachable) {
             log.event("backend", "reached", "backend", row.info.id, "runs", report.running.size)
             row.reachedAtMs = nowMs
@@ -119,6 +118,15 @@
         reconcileRuns(row, report, nowMs)
     }
 
+    /**
+     * The previous owner may have granted a longer lease than this one grants first. It covers the runs that are found,
+     * and also those that are started while it lasts.
+     */
+    private fun onFirstReport(row: BackendRow, nowMs: Long) {
+        tables.runs.recordForeignLease(row, nowMs + longestRunMs(settings))
+        row.lease.grantedUntilMs = maxOf(row.lease.grantedUntilMs, nowMs + settings.longestLeaseMs)
+    }
+
     private fun onRunEnd(row: BackendRow, end: RunEnd, nowMs: Long) {
         if (end.number <= row.acknowledgedEnd) return
         tables.runs.recordEnded(end.task, end.run, row)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -75,6 +75,9 @@
     val isolationShare: Double = 0.25,
     val historyRetentionMs: Long = 60_000,
 ) {
+    /** Longest lease that an owner grants; it does so to a backend server without runs. */
+    internal val longestLeaseMs: Long get() = leaseMs + (idlePollWaitMs - pollWaitMs).coerceAtLeast(0)
+
     /**
      * Returns what these times need of a deployment and do not get; tasks may run twice there.
      *
@@ -84,7 +87,6 @@
      */
     public fun unmetNeeds(callerRepeatMs: Long, stopMs: Long, maxLeaseMs: Long): List<String> {
         val longestMs = longestRunMs(this)
-        val longestLeaseMs = leaseMs + (idlePollWaitMs - pollWaitMs).coerceAtLeast(0)
         return listOfNotNull(
             "callers repeat after $callerRepeatMs ms, runs last $longestMs ms".takeIf { callerRepeatMs < longestMs },
             "stops take $stopMs ms, $STOP_MARGIN_MS ms are expected".takeIf { stopMs > STOP_MARGIN_MS },
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/RunRenewalTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/RunRenewalTest.kt
@@ -87,8 +87,8 @@
     }
 
     /**
-     * Guards against a start on a backend server whose lease the previous owner has granted for longer than the limit of
-     * the job, as after a handover to an instance that reads its messages late.
+     * Guards against a start on a backend server whose lease the previous owner has granted for longer than the limit
+     * of the job, as after a handover to an instance that reads its messages late.
      */
     @Test
     fun `a run that the next owner of a failure domain starts ends before another owner starts its task`() {
