--- /dev/null
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/NewOwnerWaitTest.kt
@@ -0,0 +1,95 @@
+package medlarroute.dispatch
+
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+
+/** A new owner waits until each other owner has told it of all jobs that are open there. */
+class NewOwnerWaitTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val sim = SimulatedBackends()
+    private val first = sim.owners.first()
+    private val second = sim.addOwner()
+    private val request = sim.job("j", tasks = 1, estimateMs = 300)
+
+    init {
+        sim.sharesOpenJobs = true
+        sim.workMs = { 5_000 }
+        sim.add("near", domain = "d1")
+        sim.add("far", domain = "d2")
+        listOf("d1" to first, "d2" to second).forEach { (domain, owner) ->
+            sim.configure(owner, SimulatedBackends.queue())
+            owner.dispatcher.acquire(domain, 1)
+            owner.dispatcher.updateBackends(sim.backends.values.map { it.info })
+        }
+        sim.run(untilMs = 100)
+    }
+
+    @AfterEach
+    fun stop() {
+        group.shutdownGracefully()
+    }
+
+    private fun submit(owner: SimulatedBackends.Owner, job: JobRequest, instance: String) =
+        owner.dispatcher.submit(job, JobOrigin(instance, 1), timeoutMs = 60_000)
+
+    /**
+     * Guards against a wait that ends with any message on open jobs. The list of all of them is lost with a connection
+     * that the new owner has reset, and the next message names only those whose turn it is.
+     */
+    @Test
+    fun `a message on some open jobs does not end the wait of a new owner`() {
+        sim.losesOwnerMessages = true
+        submit(first, request, "i1")
+        sim.run(sim.nowMs + 700)
+        submit(first, sim.job("k", tasks = 1, estimateMs = 300), "i1")
+        sim.run(sim.nowMs + 560)
+        second.dispatcher.openJobSystem.onAcquired(mapOf("o0" to 0L), wasReleased = true)
+        first.dispatcher.openJobSystem.announceNow()
+        sim.losesOwnerMessages = false
+        sim.run(sim.nowMs + 100)
+        submit(second, request, "i2")
+        sim.run(sim.nowMs + 100)
+        sim.concurrentRuns.shouldBeEmpty()
+    }
+
+    /** Guards against the same by a message on runs that remain, which names no open job. */
+    @Test
+    fun `a message on remaining runs does not end the wait of a new owner`() {
+        second.dispatcher.openJobSystem.onAcquired(mapOf("o0" to 0L), wasReleased = true)
+        val remaining = PeerMessage.ActiveRuns(listOf(TaskKey(JobId("other"), 0, 0)))
+        reportsOf(second).onReceived("o0", remaining)
+        submit(second, request, "i2")
+        sim.run(sim.nowMs + 300)
+        sim.starts shouldBe 0
+    }
+
+    private fun reportsOf(owner: SimulatedBackends.Owner): OwnerReports {
+        val self = PeerMember("o1", "d2", "127.0.0.1", 1, 1)
+        val selection = OwnerSelection(
+            own = { PeerView(self, PeerState.ALIVE, owned = mapOf("d2" to 1L), leaving = false) },
+            peers = { emptyList() },
+            isPerDomain = { true },
+            heartbeatOf = { null },
+            ownLoadPercent = { 0 },
+        )
+        val log = EventLog { _, _, _ -> }
+        val network = PeerNetwork({ self }, PeerNetworkSettings(), group, sim.clock, UnusedListener, log)
+        return OwnerReports("o1", owner.dispatcher, selection, network, log)
+    }
+
+    private object UnusedListener : PeerListener {
+        override fun onMessage(peer: PeerMember, message: PeerMessage) = Unit
+
+        override fun onConnected(peer: PeerMember) = Unit
+
+        override fun heartbeat() = PeerMessage.Heartbeat()
+
+        override fun partners(): Set<String> = emptySet()
+
+        override fun openRequests(): Map<String, List<Long>> = emptyMap()
+    }
+}
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -259,6 +259,18 @@
         a.ownership.owned.keys shouldBe setOf("d1", "d2")
     }
 
+    /** Guards against a silence that is measured while the instance could not receive anything. */
+    @Test
+    fun `an instance that was suspended listens before it claims without the store`() {
+        run(500, sees = ::all)
+        storeIsUp = false
+        val peers = { listOf(seen(a, PeerState.SILENT), seen(c, PeerState.ALIVE)) }
+        run(50, listOf(b)) { peers() }
+        clock += 3_000.milliseconds
+        run(50, listOf(b)) { peers() }
+        b.ownership.owned.shouldBeEmpty()
+    }
+
     private companion object {
         const val TICK_MS = 50L
     }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SuspensionMonitorTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SuspensionMonitorTest.kt
@@ -43,6 +43,17 @@
         paused.newlySuspendedMs() shouldBe 900
     }
 
+    /** The same when the monitor is created, as a process is that has just started and has used up its quota. */
+    @Test
+    fun `a pause while the monitor is created is not reported`() {
+        val pausing = PausingTimeSource(steady) { run(90) }
+        pausing.isPausing = true
+        val paused = SuspensionMonitor(MachineClocks(pausing, sinceBoot))
+        pausing.isPausing = false
+        run(1_000)
+        paused.newlySuspendedMs() shouldBe 0
+    }
+
     /** Calls [pause] before each reading while [isPausing]. */
     private class PausingTimeSource(private val source: TestTimeSource, private val pause: () -> Unit) :
         AbstractLongTimeSource(DurationUnit.MILLISECONDS) {
