Let only a complete list of open jobs end a new owner's wait

A task may run twice at the same time after an owner has changed: a caller has sent its job again, and the new owner starts it although another owner runs it.

Cause: a new owner starts nothing until each other owner has told it which jobs are open there. Any message of that owner ended the wait, also one that named only the jobs whose turn it was, or only runs that remain. The complete list is sent once, and is lost with a connection that the new owner has reset. The class: a wait that ends with the arrival of some message, not with what it waits for.

Now the complete list says that it is one (a field that earlier versions ignore; the wait for them ends with its time), and an owner sends it again on a new connection, and to an owner that owned nothing in between.

Ruled out: sending the list until it is confirmed, which costs messages in every takeover.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchActions.kt
@@ -22,10 +22,10 @@
     public fun runsRemain(tasks: List<TaskKey>)
 
     /**
-     * Jobs have been open here for so long that their callers may soon send them again. Those in [running] have runs,
-     * those in [waiting] have none. The other owners must not run them.
+     * [jobs] have been open here for so long that their callers may soon send them again. The other owners must not run
+     * them.
      */
-    public fun jobsOpen(running: List<JobId>, waiting: List<JobId>)
+    public fun jobsOpen(jobs: OpenJobs)
 
     /** [job] is no longer run here since it is open at [owner], where [origin] has to submit it. */
     public fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String)
@@ -33,3 +33,16 @@
     /** A backend server has rejected a command or a poll since it has received a higher token of another owner. */
     public fun onFenced(failureDomain: String)
 }
+
+/**
+ * Jobs that are open at an owner.
+ *
+ * @property running those that have runs.
+ * @property waiting those that have none.
+ * @property areAll whether these are all jobs that the owner has to announce, also if there are none.
+ */
+public data class OpenJobs(
+    public val running: List<JobId>,
+    public val waiting: List<JobId>,
+    public val areAll: Boolean = false,
+)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -324,7 +324,7 @@
 
         override fun runsRemain(tasks: List<TaskKey>) = ownerReports.runsRemain(tasks)
 
-        override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) = ownerReports.jobsOpen(running, waiting)
+        override fun jobsOpen(jobs: OpenJobs) = ownerReports.jobsOpen(jobs)
 
         override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
             sendMoved(origin, job, progress, owner)
@@ -444,7 +444,11 @@
             } else if (withoutStore.add(peer.instance)) {
                 network.send(peer.instance, PeerMessage.Members(network.members() + self))
             }
-            if (heartbeat.owned.isNotEmpty()) ownerReports.onOwnerHeard(peer.instance)
+            if (heartbeat.owned.isNotEmpty()) {
+                ownerReports.onOwnerHeard(peer.instance)
+            } else {
+                ownerReports.forget(peer.instance)
+            }
             val current = configuration ?: return
             if (heartbeat.configurationVersion < current.version) {
                 network.send(peer.instance, PeerMessage.Configuration(current))
@@ -453,6 +457,7 @@
 
         override fun onConnected(peer: PeerMember) {
             withoutStore -= peer.instance
+            ownerReports.forget(peer.instance)
             if (dispatcher.ownedDomains.isNotEmpty()) {
                 network.send(peer.instance, PeerMessage.Backends(listing.backends, listing.version))
             }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -22,7 +22,7 @@
     private val openElsewhere = HashMap<JobId, OpenElsewhere>()
     private var announcedAtMs = NEVER_MS
 
-    /** The other owners that have not yet told which jobs are open there, with the end of the wait for each. */
+    /** The other owners that have not yet told of all jobs that are open there, with the end of the wait for each. */
     private val awaitedUntilMs = HashMap<String, Long>()
 
     /** End of the time in which instances submit the jobs of a lost owner. */
@@ -73,8 +73,7 @@
     /** Another instance has become an owner, and waits to be told of the jobs here, also if there are none. */
     fun announceNow() {
         val nowMs = clock.nowMs()
-        val old = tables.jobs.values.filter { nowMs - it.earliestArrivalMs >= settings.announceAfterMs }
-        if (old.isEmpty()) actions.jobsOpen(emptyList(), emptyList()) else announce(old, nowMs)
+        announce(tables.jobs.values.filter { nowMs - it.earliestArrivalMs >= settings.announceAfterMs }, nowMs, true)
     }
 
     /** Announces the jobs that are due. */
@@ -82,40 +81,40 @@
         if (nowMs - announcedAtMs < MIN_INTERVAL_MS) return
         announcedAtMs = nowMs
         openElsewhere.values.removeIf { it.untilMs < nowMs }
-        announce(tables.jobs.values.filter { isDue(it, nowMs) }, nowMs)
+        val due = tables.jobs.values.filter { isDue(it, nowMs) }
+        if (due.isNotEmpty()) announce(due, nowMs)
     }
 
     private fun isDue(job: JobRow, nowMs: Long) = nowMs - job.earliestArrivalMs >= settings.announceAfterMs &&
         nowMs - job.announcedAtMs >= settings.announceIntervalMs
 
-    private fun announce(jobs: List<JobRow>, nowMs: Long) {
-        if (jobs.isEmpty()) return
+    private fun announce(jobs: List<JobRow>, nowMs: Long, areAll: Boolean = false) {
         for (job in jobs) {
             if (isSeriesOver(job, nowMs)) job.announcedSinceMs = nowMs
             job.announcedAtMs = nowMs
         }
         val (running, waiting) = jobs.partition { it.isRunning }
-        actions.jobsOpen(running.map { it.request.id }, waiting.map { it.request.id })
+        actions.jobsOpen(OpenJobs(running.map { it.request.id }, waiting.map { it.request.id }, areAll))
     }
 
     /**
-     * Jobs are open at [owner]: those in [running] have runs, those in [waiting] have none.
+     * [jobs] are open at [owner].
      *
      * @param hasPrecedence whether [owner] keeps the jobs that both owners have announced and neither runs. Otherwise
      *   the one keeps them that has announced them first.
      */
-    fun onAnnounced(owner: String, running: List<JobId>, waiting: List<JobId>, hasPrecedence: Boolean) {
+    fun onAnnounced(owner: String, jobs: OpenJobs, hasPrecedence: Boolean) {
         val nowMs = clock.nowMs()
-        awaitedUntilMs -= owner
+        if (jobs.areAll) awaitedUntilMs -= owner
         val untilMs = nowMs + longestRunMs(settings)
         val objections = ArrayList<JobRow>(0)
-        for (id in running + waiting) {
+        for (id in jobs.running + jobs.waiting) {
             val job = tables.jobs[id]
             if (job == null) {
                 openElsewhere[id] = OpenElsewhere(owner, untilMs)
                 continue
             }
-            val isRunningThere = id in running
+            val isRunningThere = id in jobs.running
             if (job.isRunning) {
                 if (nowMs - job.announcedAtMs >= MIN_INTERVAL_MS) objections += job
                 if (isRunningThere) holdBack(job, untilMs)
@@ -126,7 +125,7 @@
                 objections += job
             }
         }
-        announce(objections, nowMs)
+        if (objections.isNotEmpty()) announce(objections, nowMs)
     }
 
     /** Both owners have runs of [job]. Neither starts a task that the other one may be running. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -30,6 +30,11 @@
         if (owner !in informedOwners) informNewOwners()
     }
 
+    /** Tells [instance] again as soon as it owns a failure domain: what was sent before may be lost or forgotten. */
+    fun forget(instance: String) {
+        informedOwners -= instance
+    }
+
     /** Tells owners that have appeared since the last call. */
     fun informNewOwners() {
         if (dispatcher.ownedDomains.isEmpty()) return
@@ -49,15 +54,15 @@
         owners.forEach { network.send(it, PeerMessage.ActiveRuns(tasks)) }
     }
 
-    fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
-        val message = PeerMessage.ActiveRuns(tasks = emptyList(), running, waiting)
+    fun jobsOpen(jobs: OpenJobs) {
+        val message = PeerMessage.ActiveRuns(jobs)
         selection.otherOwners().forEach { network.send(it, message) }
     }
 
     fun onReceived(owner: String, message: PeerMessage.ActiveRuns) {
         dispatcher.learnActiveRuns(message.tasks)
         val hasPrecedence = owner < instance
-        dispatcher.openJobSystem.onAnnounced(owner, message.running, message.waiting, hasPrecedence)
+        dispatcher.openJobSystem.onAnnounced(owner, message.jobs, hasPrecedence)
     }
 
     private companion object {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -124,6 +124,7 @@
      *   ended. Instances of earlier versions require it.
      * @property running jobs that are open at the sender and have runs.
      * @property waiting jobs that are open at the sender and have no run.
+     * @property areAll see [OpenJobs.areAll].
      */
     @Serializable
     @SerialName("active")
@@ -131,7 +132,12 @@
         val tasks: List<TaskKey>,
         val running: List<JobId> = emptyList(),
         val waiting: List<JobId> = emptyList(),
-    ) : PeerMessage
+        val areAll: Boolean = false,
+    ) : PeerMessage {
+        internal constructor(jobs: OpenJobs) : this(emptyList(), jobs.running, jobs.waiting, jobs.areAll)
+
+        internal val jobs: OpenJobs get() = OpenJobs(running, waiting, areAll)
+    }
 
     /** All instances that the sender knows. */
     @Serializable
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -159,15 +159,15 @@
             }
         }
 
-        override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
+        override fun jobsOpen(jobs: OpenJobs) {
             if (losesOwnerMessages) return
-            peers?.let { return it.jobsOpen(running, waiting) }
+            peers?.let { return it.jobsOpen(jobs) }
             if (!sharesOpenJobs) return
             val own = owners.indexOf(this)
             after(2) {
                 owners.forEachIndexed { index, other ->
                     if (index == own) return@forEachIndexed
-                    other.deliver { other.dispatcher.openJobSystem.onAnnounced("o$own", running, waiting, own < index) }
+                    other.deliver { other.dispatcher.openJobSystem.onAnnounced("o$own", jobs, own < index) }
                 }
             }
         }
@@ -501,7 +501,7 @@
 
     fun runsRemain(tasks: List<TaskKey>)
 
-    fun jobsOpen(running: List<JobId>, waiting: List<JobId>)
+    fun jobsOpen(jobs: OpenJobs)
 
     fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String)
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -200,6 +200,7 @@
                 message.renewal?.let { renewal ->
                     peerClock.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer, renewal.requests, it) }
                 }
+                if (message.owned.isEmpty()) informedOwners -= peer
                 if (tokens.isNotEmpty() && message.owned.isNotEmpty() && peer !in informedOwners) informNewOwners()
             }
 
@@ -211,7 +212,7 @@
 
             is PeerMessage.ActiveRuns -> {
                 dispatcher.learnActiveRuns(message.tasks)
-                dispatcher.openJobSystem.onAnnounced(peer, message.running, message.waiting, peer < name)
+                dispatcher.openJobSystem.onAnnounced(peer, message.jobs, peer < name)
             }
 
             else -> Unit
@@ -247,7 +248,9 @@
         return ageMs ?: UNKNOWN_AGE_MS
     }
 
-    override fun onConnected(peer: String) = Unit
+    override fun onConnected(peer: String) {
+        informedOwners -= peer
+    }
 
     override fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult) {
         results.record(origin, job, result)
@@ -256,11 +259,11 @@
 
     override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(otherOwners(), tasks)
 
-    override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
+    override fun jobsOpen(jobs: OpenJobs) {
         val others = otherOwners()
-        for (job in running) sim.trace("$name tells ${others.sorted()} that job $job runs")
-        for (job in waiting) sim.trace("$name tells ${others.sorted()} that job $job waits")
-        others.forEach { send(it, PeerMessage.ActiveRuns(tasks = emptyList(), running, waiting)) }
+        for (job in jobs.running) sim.trace("$name tells ${others.sorted()} that job $job runs")
+        for (job in jobs.waiting) sim.trace("$name tells ${others.sorted()} that job $job waits")
+        others.forEach { send(it, PeerMessage.ActiveRuns(jobs)) }
     }
 
     override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
