Keep the estimate of a backend server's clock when a report is read late

After a pause or suspension of an owner, callers wait and the log fills: each start is rejected as expired and sent again until the next report, 150 times in 0.3 s.

Cause: the clock of a backend server was taken to be the time in its last report at the moment of reading. A report that was written before the suspension sets the clock back by its length, and starts carry a time that has passed. Taking the time in a rejection as well was ruled out: a rejection doesn't say which process has answered.

Now the estimate is the latest that the reports allow, less the drift since.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -35,7 +35,7 @@
 
     /** Whether the backend server can start tasks now. */
     fun canStart(row: BackendRow, nowMs: Long): Boolean =
-        row.isServing(nowMs) && row.lastReportAtMs != NEVER_MS && row.clockOffsetMs != null &&
+        row.isServing(nowMs) && row.lastReportAtMs != NEVER_MS && row.backendClockMs(nowMs) != null &&
             row.pausedUntilMs <= nowMs && row.unknownRuns.isEmpty() && !row.isBeingProbed &&
             (tables.isGuarded(row.info.service) || isCapacityKnown(row, nowMs))
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
@@ -2,6 +2,7 @@
 
 /** Keeps the table of backend servers in line with the list of those in the owned failure domains. */
 internal class BackendListingSystem(
+    private val settings: DispatchSettings,
     private val tables: DispatchTables,
     private val losses: RunLossSystem,
     private val log: EventLog,
@@ -15,7 +16,7 @@
     private fun update(info: BackendInfo, nowMs: Long) {
         val row = tables.backends[info.id]
         if (row == null) {
-            tables.backends[info.id] = BackendRow(info, tables.runs.lease(info))
+            tables.backends[info.id] = BackendRow(info, tables.runs.lease(info), BackendClock(settings.clockDrift))
             return
         }
         if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -111,7 +111,7 @@
         row.unreachableSinceMs = NEVER_MS
         row.isRefusing = false
         row.isDisplaced = false
-        row.clockOffsetMs = report.clockMs - nowMs
+        row.clock.observe(report.clockMs, nowMs)
         row.lastReportAtMs = nowMs
         report.ended.forEach { onRunEnd(row, it, nowMs) }
         row.acknowledgedEnd = maxOf(row.acknowledgedEnd, report.ended.maxOfOrNull { it.number } ?: 0)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -171,7 +171,7 @@
 }
 
 /** Row of the backend server table. */
-internal class BackendRow(var info: BackendInfo, val lease: BackendLease) {
+internal class BackendRow(var info: BackendInfo, val lease: BackendLease, val clock: BackendClock) {
     val tasks = LinkedHashMap<TaskKey, TaskRow>()
 
     /** Runs that belong to no job here. */
@@ -197,8 +197,6 @@
     /** Ended processes. The list of backend servers may still name one after a poll has reported its successor. */
     val formerIncarnations = HashSet<Long>()
 
-    /** Backend server's clock minus the dispatcher's clock at the last response; null before the first response. */
-    var clockOffsetMs: Long? = null
     var lastReportAtMs = NEVER_MS
     var pollSentAtMs = 0L
     var pollInFlight = false
@@ -278,7 +276,7 @@
         task.backend = null
     }
 
-    fun backendClockMs(nowMs: Long): Long? = clockOffsetMs?.let { it + nowMs }
+    fun backendClockMs(nowMs: Long): Long? = clock.estimateMs(nowMs)
 }
 
 /** A run that may be lost with its backend server, which may not have executed the start unless [isConfirmed]. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -30,7 +30,7 @@
         settings, tables, actions, takeover, health, isolation, limits, openJobSystem, log,
     )
     private val losses = RunLossSystem(settings, tables, ends, crashes, placement, log)
-    private val listing = BackendListingSystem(tables, losses, log)
+    private val listing = BackendListingSystem(settings, tables, losses, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
     private val polls = BackendPollSystem(settings, tables, actions, limits, log)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -60,7 +60,7 @@
         row.unknownRuns.clear()
         row.unclaimedCompletions.clear()
         row.acknowledgedEnd = 0
-        row.clockOffsetMs = null
+        row.clock.reset()
         row.lastReportAtMs = NEVER_MS
         row.pollInFlight = false
         row.pollNumber++
