Let an instance listen before it claims a failure domain

An instance that wakes claims a failure domain at once if the store can't be reached, since the wait for it began before the suspension, in which it could hear nothing. A live owner is fenced, its jobs move, and their callers wait. Tokens keep tasks from running twice.

Now the waits that end in a claim begin again after a pause of the instance: the time without an owner, and that without a change of its record.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ListeningTime.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ListeningTime.kt
@@ -8,9 +8,11 @@
     private var tickedAtMs = 0L
     private var sinceMs = 0L
 
-    fun onTick(nowMs: Long) {
-        noticeGap(nowMs)
+    /** Returns whether there was a gap before this tick. */
+    fun onTick(nowMs: Long): Boolean {
+        val hadGap = noticeGap(nowMs)
         tickedAtMs = nowMs
+        return hadGap
     }
 
     /** Time since the start of the process or the end of its last pause, in milliseconds. */
@@ -19,10 +21,11 @@
         return nowMs - sinceMs
     }
 
-    private fun noticeGap(nowMs: Long) {
-        if (nowMs - tickedAtMs <= PAUSE_MS) return
+    private fun noticeGap(nowMs: Long): Boolean {
+        if (nowMs - tickedAtMs <= PAUSE_MS) return false
         sinceMs = nowMs
         tickedAtMs = nowMs
+        return true
     }
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -43,6 +43,7 @@
     private var unownedSinceMs: Long? = null
     private var yieldingSinceMs: Long? = null
     private var leaving = false
+    private val listening = ListeningTime()
 
     /** Whether each failure domain has an owner of its own, as deployments need that are too large for a single one. */
     public var isPerDomain: Boolean = false
@@ -80,12 +81,23 @@
     public fun tick(peers: List<PeerView>, openJobs: Int = 0, hasContact: (String) -> Boolean?) {
         this.peers = peers
         if (leaving) return
+        if (listening.onTick(nowMs())) restartWaits()
         yieldToBetterTokens()
         yieldToBetterOwner(openJobs)
         if (owned.isNotEmpty() && nowMs() - renewedAtMs >= settings.renewMs) renew(hasContact)
         claimUnowned()
     }
 
+    /** What this instance has not seen while it was paused or suspended does not make an owner count as lost. */
+    private fun restartWaits() {
+        val nowMs = nowMs()
+        unownedSinceMs = null
+        for (domain in domains.values) {
+            domain.unownedSinceMs = null
+            domain.changedAtMs = domain.changedAtMs?.let { nowMs }
+        }
+    }
+
     private fun yieldToBetterTokens() {
         val lost = HashMap<OwnershipDomain, String>()
         for (peer in peers) {
