--- a/dispatch/src/main/kotlin/medlarroute/dispatch/ListeningTime.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/ListeningTime.kt
@@ -1,8 +1,8 @@
 package medlarroute.dispatch
 
 /**
- * For how long a process has been able to receive messages. It could not before its start, nor while it was paused or its
- * machine was suspended, which shows as a gap between its ticks.
+ * For how long a process has been able to receive messages. It could not before its start, nor while it was paused or
+ * its machine was suspended, which shows as a gap between its ticks.
  */
 internal class ListeningTime {
     private var tickedAtMs = 0L
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
@@ -93,7 +93,11 @@
         submit(second, "i2")
         sim.run(sim.nowMs + 300)
         sim.starts shouldBe 0
-        second.dispatcher.openJobSystem.onAnnounced("o0", OpenJobs(emptyList(), emptyList(), areAll = true), hasPrecedence = true)
+        second.dispatcher.openJobSystem.onAnnounced(
+            "o0",
+            OpenJobs(emptyList(), emptyList(), areAll = true),
+            hasPrecedence = true,
+        )
         sim.run(sim.nowMs + 50)
         sim.starts shouldBe 1
     }
