Count a request that arrives soon after a suspension as an old one

A caller has sent its job again elsewhere when its first request, which was sent to a suspended machine, is read there. Owners take it for a new one and may run it beside the other.

Cause: a request counts as unread for the length of a pause only if it is read with the first ticks after it. A paused process finds what has arrived; a suspended machine has received nothing, and the network sends the packets again with a growing pause.

Now requests count from the beginning of the suspension for 2 s after it. This only makes owners announce the job before it starts. A pause without a suspension is counted as before. EntryServiceTest, new test.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -83,13 +83,29 @@
     private var tickedAtMs = 0L
     private var previousTickAtMs = 0L
 
+    /** Begin and end of the last suspension of the machine. */
+    private var suspendedAtMs = NEVER_MS
+    private var resumedAtMs = NEVER_MS
+
     private fun nowMs() = elapsed.nowMs()
 
     /**
      * How long a request that is read now may have waited, if this process has just been paused. The first tick after a
      * pause may come before the requests are read that have arrived during it.
      */
-    private fun unreadMs(nowMs: Long): Long = (nowMs - previousTickAtMs).takeIf { it > PAUSE_MS } ?: 0
+    private fun unreadMs(nowMs: Long): Long {
+        if (nowMs - resumedAtMs < RETRANSMISSION_MS) return nowMs - suspendedAtMs
+        return (nowMs - previousTickAtMs).takeIf { it > PAUSE_MS } ?: 0
+    }
+
+    /**
+     * The machine has been suspended for [forMs] until just now. Unlike a paused process, it has not received what was
+     * sent to it, so requests of that time arrive later.
+     */
+    internal fun onSuspended(forMs: Long) {
+        resumedAtMs = nowMs()
+        suspendedAtMs = resumedAtMs - forMs
+    }
 
     /** Runs [job] and calls [onResult] once. Returns the handle for [cancel]. */
     public fun submit(
@@ -321,6 +337,9 @@
     }
 
     private companion object {
+        /** Time within which a packet that was lost for a few seconds is sent again, and some of its successors. */
+        const val RETRANSMISSION_MS = 2_000L
+
         /** Several heartbeat intervals. */
         const val HANDOVER_WAIT_MS = 300L
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -141,9 +141,10 @@
         dispatcher.configure(next)
     }
 
-    private fun logSuspension() {
+    private fun noticeSuspension() {
         val suspendedMs = suspensions.newlySuspendedMs()
         if (suspendedMs == 0L) return
+        entry.onSuspended(suspendedMs)
         log.event(
             "instance", "suspended", "forMs", suspendedMs,
             "openRequests", entry.openRequests, "openJobs", dispatcher.openJobs, "owned", dispatcher.ownedDomains,
@@ -151,7 +152,7 @@
     }
 
     private fun ownershipTick() {
-        logSuspension()
+        noticeSuspension()
         ownership.isPerDomain = network.members().size >= settings.perDomainOwnersFrom
         val peers = network.views()
         // Until the size of the deployment is known, an instance may claim failure domains that it has to release
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -92,6 +92,20 @@
         sent.map { it.first } shouldContainExactly listOf("a", "a")
     }
 
+    /** Guards against the same if the request arrives after the suspension, since the network has sent it again. */
+    @Test
+    fun `a request that arrives soon after a suspension may have been sent during it`() {
+        repeat(4) { advance(ms = 50) }
+        clock += 2_000.milliseconds
+        entry.onSuspended(forMs = 2_000)
+        repeat(4) { advance(ms = 50) }
+        submit()
+        sent.last().second.unreadMs shouldBe 2_200
+        repeat(40) { advance(ms = 50) }
+        submit()
+        sent.last().second.unreadMs shouldBe 0
+    }
+
     /** Guards against an old request that is taken for a new one, since the process was paused when it arrived. */
     @Test
     fun `a request that is read after a pause may have waited during it`() {
