--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
@@ -12,21 +12,32 @@
  *   held it has dropped it.
  * @param cutsLinks whether links between instances are cut.
  * @param suspendsMachines whether processes are paused with their machines, and more often than otherwise.
+ * @param silencesConnections whether open connections go silent, in one direction or both, while new ones work.
+ * @param clockRateError how far the rates of the clocks of the machines are from true time at most.
  */
 internal class EntryConcurrentRunScenario(
     private val random: Random,
     private val leavesUnnoticed: Boolean = false,
     private val cutsLinks: Boolean = true,
     private val suspendsMachines: Boolean = false,
+    private val silencesConnections: Boolean = false,
+    private val clockRateError: Double = 0.0,
 ) {
     private val clock = TestTimeSource()
     private val sim = SimulatedBackends(clock)
-    private val fleet = SimulatedFleet(sim, clock, random, OWNERS, ENTRIES)
+    private val fleet = SimulatedFleet(sim, clock, random, OWNERS, ENTRIES, silencesConnections, ::newClockRate)
     private val owners = HashMap<String, SimulatedOwner>()
     private val entries = HashMap<String, SimulatedEntry>()
     private val ownership = SimulatedOwnership(fleet) { OWNERS.mapNotNull { owners[it] } }
     private val clients = ArrayList<Client>()
 
+    /** Machines at both ends of the range are the worst case, so that half of them are there. */
+    private fun newClockRate(): Double = when {
+        clockRateError == 0.0 -> 1.0
+        random.nextBoolean() -> if (random.nextBoolean()) 1 + clockRateError else 1 - clockRateError
+        else -> 1 + random.nextDouble(-clockRateError, clockRateError)
+    }
+
     /** A caller with one job, which it sends until the job is complete. */
     private inner class Client(val request: JobRequest) {
         private var attempts = 0
@@ -99,6 +110,7 @@
             disturb()
             if (suspendsMachines && random.nextInt(2) == 0) pause(running(owners))
             if (leavesUnnoticed && random.nextInt(3) == 0) disconnectClient()
+            if (silencesConnections && random.nextBoolean()) silenceConnections()
             run(random.nextLong(20, 500))
         }
         run(AFTERWARDS_MS)
@@ -238,6 +250,27 @@
         fleet.links.reset(owner, peer)
     }
 
+    /** Lets all connections go silent, those of one machine, or those of one link. */
+    private fun silenceConnections() {
+        val processes = running(owners) + running(entries)
+        val directions = random.nextInt(1, 4)
+        val share = if (random.nextBoolean()) 1.0 else 0.5
+        val link = randomLink()
+        val machine = processes.random(random).name
+        val scope = random.nextInt(3)
+        fault("silent connections, scope $scope, of $machine or $link, directions $directions, share $share")
+        for (one in running(owners)) {
+            for (other in processes.filter { it.name > one.name || it !is SimulatedOwner }) {
+                val isAffected = when (scope) {
+                    0 -> true
+                    1 -> machine == one.name || machine == other.name
+                    else -> setOf(one.name, other.name) == link.toList().toSet()
+                }
+                if (isAffected) fleet.links.silence(one, other, directions != 1, directions != 2, share)
+            }
+        }
+    }
+
     private fun restartOwner() {
         val owner = running(owners).randomOrNull(random) ?: return
         val losesPower = random.nextInt(3) == 0
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -10,11 +10,13 @@
     val random: Random,
     val ownerNames: List<String>,
     val entryNames: List<String>,
+    goSilent: Boolean = false,
+    private val newRate: () -> Double = { 1.0 },
 ) {
-    val links = SimulatedLinks(sim, random)
+    val links = SimulatedLinks(sim, random, goSilent)
     private var nextNumber = 1L
 
-    fun newClocks() = SimulatedClocks(time)
+    fun newClocks() = SimulatedClocks(time, newRate())
 
     fun newMember(name: String, failureDomain: String) = PeerMember(name, failureDomain, name, 1, nextNumber++)
 }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedLinks.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedLinks.kt
@@ -5,8 +5,15 @@
 /**
  * Connections between processes, on the virtual clock of [sim]. Each direction of a link may be cut by itself. What is
  * sent on a connection during a cut arrives after it, in order, unless one side has reset the connection before.
+ *
+ * @param goSilent whether connections may go silent, see [silence]. Processes then time their dials as [PeerNetwork]
+ *   does. In the other scenarios they dial less often, on which the known seeds depend.
  */
-internal class SimulatedLinks(private val sim: SimulatedBackends, private val random: Random) {
+internal class SimulatedLinks(
+    private val sim: SimulatedBackends,
+    private val random: Random,
+    val goSilent: Boolean = false,
+) {
     private val processes = HashMap<String, SimulatedProcess>()
     private val machinesWithoutPower = HashSet<String>()
     private val cutUntilMs = HashMap<Pair<String, String>, Long>()
@@ -54,13 +61,26 @@
         }
     }
 
-    /** Resets the connections between two processes, as a middlebox does. What was sent on them may be lost. */
+    /**
+     * Resets the connections between two processes, as a middlebox does; some of them if they may also go silent. What
+     * was sent on them may be lost.
+     */
     fun reset(one: SimulatedProcess, other: SimulatedProcess) =
-        one.connections().filter { it.peerOf(one) === other }.forEach {
+        one.connections().filter { it.peerOf(one) === other && (!goSilent || random.nextBoolean()) }.forEach {
             it.close(one)
             one.deliver { one.onClosed(it) }
         }
 
+    /**
+     * Lets [share] of the open connections between two processes go silent for good, in one direction or both. Nothing
+     * tells either side, and connections that are opened later work.
+     */
+    fun silence(one: SimulatedProcess, other: SimulatedProcess, fromOne: Boolean, toOne: Boolean, share: Double = 1.0) =
+        one.connections().filter { it.peerOf(one) === other && random.nextDouble() < share }.forEach {
+            if (fromOne) it.silence(from = one)
+            if (toOne) it.silence(from = other)
+        }
+
     /** A connection between two processes, with the messages on it that have not arrived. */
     inner class Connection(private val dialing: SimulatedProcess, private val accepting: SimulatedProcess) {
         private val forward = Direction(this, dialing, accepting)
@@ -68,12 +88,16 @@
         var isClosed = false
             private set
 
+        fun isDialedBy(process: SimulatedProcess) = process === dialing
+
         fun peerOf(process: SimulatedProcess) = if (process === dialing) accepting else dialing
 
         fun send(from: SimulatedProcess, message: PeerMessage) {
             if (!isClosed) (if (from === dialing) forward else backward).send(message)
         }
 
+        fun silence(from: SimulatedProcess) = (if (from === dialing) forward else backward).silence()
+
         /** Closes the connection; the other side learns of it when the link to it works. */
         fun close(by: SimulatedProcess) {
             if (isClosed) return
@@ -98,8 +122,15 @@
     ) {
         private val sent = ArrayDeque<Pair<Long, PeerMessage>>()
         private var isScheduled = false
+        private var isSilent = false
+
+        fun silence() {
+            isSilent = true
+            clear()
+        }
 
         fun send(message: PeerMessage) {
+            if (isSilent) return
             sent += sim.nowMs + delayMs(from.name, to.name) to message
             schedule(sent.first().first)
         }
@@ -132,6 +163,7 @@
         fun clear() = sent.clear()
 
         fun notifyClosed() {
+            if (isSilent) return
             val restoredAtMs = maxOf(cutUntilMs[from.name to to.name] ?: 0, sim.nowMs)
             sim.after(restoredAtMs - sim.nowMs + delayMs(from.name, to.name)) {
                 to.deliver { to.onClosed(connection) }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
@@ -25,6 +25,7 @@
         var member: PeerMember? = null
         var receivedAtMs = NEVER_MS
         var dialedAtMs = NEVER_MS
+        var isDialing = false
         var isAlive = false
         var heartbeat = PeerMessage.Heartbeat()
         var heartbeatReceivedAtMs = NEVER_MS
@@ -201,10 +202,16 @@
             updateState(peer)
             val redialAfterMs = settings.redialAfterMs(peer.heartbeat.intervalMs)
             val isConnected = peer.connection != null && nowMs() - peer.receivedAtMs <= redialAfterMs
-            if (!isConnected && nowMs() - peer.dialedAtMs >= settings.connectTimeoutMs) dial(peer)
+            if (!isConnected && nowMs() - peer.dialedAtMs >= redialPauseMs(peer)) dial(peer)
         }
     }
 
+    private fun redialPauseMs(peer: Peer): Long {
+        if (!links.goSilent || peer.isDialing) return settings.connectTimeoutMs
+        val isJunior = member.number > (peer.member?.number ?: 0)
+        return if (isJunior || peer.connection != null) settings.redialPauseMs else settings.redialPauseMs * 2
+    }
+
     private fun updateState(peer: Peer) {
         val isAlive = nowMs() - peer.receivedAtMs <= settings.silentMs(peer.heartbeat.intervalMs)
         if (isAlive == peer.isAlive) return
@@ -217,10 +224,12 @@
 
     private fun dial(peer: Peer) {
         peer.dialedAtMs = nowMs()
+        peer.isDialing = true
         links.dial(this, peer.name)
     }
 
     fun onOpened(connection: SimulatedLinks.Connection) {
+        if (connection.isDialedBy(this)) peers[connection.peerOf(this).name]?.isDialing = false
         connection.send(this, PeerMessage.Hello(member))
         connection.send(this, heartbeat().copy(settings.heartbeatIntervalMs, renewal = null))
     }
@@ -228,6 +237,7 @@
     /** No process listens at the machine [peer]. */
     fun onRefused(peer: String) {
         val refusing = peers[peer] ?: return
+        refusing.isDialing = false
         refusing.receivedAtMs = NEVER_MS
         updateState(refusing)
     }
@@ -251,11 +261,18 @@
         if (connection.isClosed) return
         peer.member = remote
         peer.connections += connection
+        if (links.goSilent && peer.connections.size > MAX_CONNECTIONS) closeOldest(peer)
         peer.receivedAtMs = nowMs()
         peer.announcedIntervalMs = 0
         onConnected(peer.name)
     }
 
+    private fun closeOldest(peer: Peer) {
+        val oldest = peer.connections.first()
+        peer.connections -= oldest
+        oldest.close(this)
+    }
+
     fun onClosed(connection: SimulatedLinks.Connection) {
         val peer = peers[connection.peerOf(this).name] ?: return
         if (peer.connections.remove(connection) && peer.connections.isEmpty()) dial(peer)
@@ -264,5 +281,6 @@
     private companion object {
         const val OWNERSHIP_TICK_MS = 50L
         const val RENEWAL_GAP_MS = 300L
+        const val MAX_CONNECTIONS = 3
     }
 }
