Send again what was lost with one of several connections

Callers may get no result, although their job is complete: an owner sends it on one of two connections to the entry, that connection is closed, and the other one remains. The entry waits until the deadline of its caller.

Cause: both sides send open requests and results again only when a connection opens. Two connections are common, since both sides dial after a silence. Sending results again when a renewal lists a request that has ended was ruled out: a renewal may overtake the request, and a lost submission would still be lost. Now the end of a connection beside which others remain counts as a new connection, at both sides.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -23,7 +23,10 @@
 public interface PeerListener {
     public fun onMessage(peer: PeerMember, message: PeerMessage)
 
-    /** A connection to [peer] was opened; messages sent on earlier connections may have been lost. */
+    /**
+     * A connection to [peer] was opened, or one of several was closed; messages sent on others than the present one may
+     * have been lost.
+     */
     public fun onConnected(peer: PeerMember)
 
     /** The current content of a heartbeat. */
@@ -403,9 +406,14 @@
         override fun channelInactive(context: ChannelHandlerContext) {
             val remote = peer ?: return
             remote.channels -= context.channel()
-            if (remote.channel !== context.channel()) return
-            remote.channel = remote.channels.lastOrNull()
-            if (remote.channel != null) return
+            // Several connections are often closed together, and the end of each is reported by itself.
+            val remaining = remote.channels.lastOrNull { it.isActive }
+            if (remaining != null) {
+                remote.channel = remaining
+                return listener.onConnected(remote.member)
+            }
+            if (remote.channels.isNotEmpty()) return
+            remote.channel = null
             remote.dialedAtMs = NEVER_MS
             log.event("peer", "disconnected", "peer", remote.member.instance, "number", remote.member.number)
             if (remote in monitored()) dial(remote, nowMs())
