Open a new connection when a distant owner misses a request

In deployments with more than 12 peers, a caller's job may reach its owner more than two seconds late: the connection to an owner of another failure domain has gone silent in that direction.

Cause: the receiver of a silent direction notices it, after the interval that the sender has announced. Shorter intervals between distant instances were ruled out, since they cost every idle instance. Now the sender uses what it hears: an owner announces the short interval within a tick once it has a request, so one that has not done so for 0.25 s has not got it. No message is added while connections work.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -75,6 +75,9 @@
         /** Time of the last heartbeat to the peer, and the interval that it announced. */
         var heartbeatSentAtMs = NEVER_MS
         var announcedIntervalMs = 0L
+
+        /** Time of the first message to the peer that obliges it to send short intervals, until it announces one. */
+        var shortIntervalDueSinceMs = NEVER_MS
     }
 
     private val elapsed = ElapsedClock(clock)
@@ -162,6 +165,8 @@
         if (peer.announcedIntervalMs > settings.followerHeartbeatIntervalMs) {
             sendHeartbeat(peer, settings.followerHeartbeatIntervalMs, EncodedHeartbeats(sentHeartbeat))
         }
+        val isLong = peer.heartbeat.intervalMs > settings.followerHeartbeatIntervalMs
+        if (isLong && peer.shortIntervalDueSinceMs == NEVER_MS) peer.shortIntervalDueSinceMs = nowMs()
         channel.writeAndFlush(encode(message), channel.voidPromise())
     }
 
@@ -259,9 +264,12 @@
         val nowMs = nowMs()
         sendDueHeartbeats(nowMs)
         val monitored = monitored()
+        val owners by lazy { listener.openRequests().keys }
         for (peer in peers.values.toList()) {
             updateState(peer, nowMs)
             if (peer.member.instance == self().instance) continue
+            val isDue = peer.shortIntervalDueSinceMs != NEVER_MS
+            if (isDue && peer.member.instance !in owners) peer.shortIntervalDueSinceMs = NEVER_MS
             if (peer in monitored && needsDial(peer, nowMs)) dial(peer, nowMs)
         }
     }
@@ -284,12 +292,20 @@
     private fun needsDial(peer: Peer, nowMs: Long): Boolean {
         if (peer.dialing && nowMs - peer.dialedAtMs < settings.connectTimeoutMs) return false
         val redialAfterMs = settings.redialAfterMs(peer.heartbeat.intervalMs)
-        if (nowMs - peer.receivedAtMs <= redialAfterMs && peer.channel != null) return false
+        val isHeard = nowMs - peer.receivedAtMs <= redialAfterMs
+        if (isHeard && !isSilentTowards(peer, nowMs) && peer.channel != null) return false
         val isJunior = self().number > peer.member.number
         val pauseMs = if (isJunior || peer.channel != null) settings.redialPauseMs else settings.redialPauseMs * 2
         return nowMs - peer.dialedAtMs >= pauseMs
     }
 
+    /**
+     * Whether a request has probably not reached [peer], although this instance hears it. An owner sends short intervals
+     * once it has a request of this instance, and would itself notice only after the long interval that it hears nothing.
+     */
+    private fun isSilentTowards(peer: Peer, nowMs: Long): Boolean = peer.shortIntervalDueSinceMs != NEVER_MS &&
+        nowMs - peer.shortIntervalDueSinceMs > settings.redialAfterMs
+
     private fun monitored(): Set<Peer> {
         val own = self()
         val others = peers.values.filter { it.member.instance != own.instance }
@@ -379,6 +395,7 @@
             val sinceLastMs = nowMs - from.heartbeatReceivedAtMs
             from.heartbeat = heartbeat
             from.heartbeatReceivedAtMs = nowMs
+            if (heartbeat.intervalMs <= settings.followerHeartbeatIntervalMs) from.shortIntervalDueSinceMs = NEVER_MS
             updateState(from, nowMs)
             // An owner whose heartbeats come rarely starts no task before the request is renewed with a recent one.
             val isWaiting = sinceLastMs > RENEWAL_GAP_MS && from.member.instance in listener.openRequests()
