Measure the progress of runs by the clock of the backend server

After a pause or suspension of an owner of half a second, its healthy backend servers are ejected for 1.5 s, their runs are stopped as hung, and callers wait or get 503.

Cause: the time without progress was the time between the reading of two reports. A backend server reports after each end of a run, so two reports are often milliseconds apart and show the same progress; the second one was read after the pause. Ignoring reports after a pause was ruled out: it needs a bound for what a pause is, and the report says when it was written. Now both times are those in the reports. A run that hangs is found as early as before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -198,7 +198,6 @@
         task.confirmedAtMs = Long.MIN_VALUE
         task.donePercent = -1
         task.missingSinceMs = NEVER_MS
-        task.progressAtMs = nowMs
         job.queuedTasks--
         if (++task.starts > 1) {
             log.event(
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -221,13 +221,17 @@
                 ends.stop(task, nowMs)
                 if (task.job.ended) actions.runsRemain(listOf(task.key))
             }
-        } else if (run.donePercent != task.donePercent) {
+            return
+        }
+        // A report may be read late, so the clock of the backend server tells how long there was no progress.
+        val stuckMs = clockMs - task.progressClockMs
+        if (run.donePercent != task.donePercent) {
             task.donePercent = run.donePercent
-            task.progressAtMs = nowMs
-        } else if (nowMs - task.progressAtMs > settings.hangTimeoutMs shl task.hangs.coerceAtMost(MAX_DOUBLINGS)) {
+            task.progressClockMs = clockMs
+        } else if (stuckMs > settings.hangTimeoutMs shl task.hangs.coerceAtMost(MAX_DOUBLINGS)) {
             log.event(
                 "dispatch", "run-hung", "job", task.key.job, "task", task.key, "run", task.run,
-                "backend", row.info.id, "percent", run.donePercent, "forMs", nowMs - task.progressAtMs,
+                "backend", row.info.id, "percent", run.donePercent, "forMs", stuckMs,
             )
             // If the task has hung on another backend server before, the task is the more likely cause.
             if (task.hangs++ == 0) {
@@ -263,7 +267,7 @@
         task.run = found.run
         task.job.everDispatched = true
         task.dispatchedAtMs = nowMs
-        task.progressAtMs = nowMs
+        task.donePercent = -1
         task.confirmedAtMs = row.backendClockMs(nowMs) ?: Long.MIN_VALUE
         log.event(
             "dispatch", "run-adopted", "job", task.key.job, "task", task.key, "run", task.run,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -42,8 +42,12 @@
 
     /** Time on the backend server's clock at which the run was confirmed. */
     var confirmedAtMs = Long.MIN_VALUE
+
+    /** Progress in the last report; -1 before the first one. */
     var donePercent = -1
-    var progressAtMs = 0L
+
+    /** Time on the backend server's clock of the first report with [donePercent]. */
+    var progressClockMs = 0L
     var stopRequestedAtMs = NEVER_MS
 
     /** Time of the first report that lists neither the run nor its end. */
