Count starts that are lost together as one failure

When connections go silent or are reset, backend servers with two starts under way are ejected for 1.5 s although they are healthy. If it happens to all connections, callers get 503 for that time.

Cause: two failures in a row eject a backend server, and each lost start counted, also if they were lost together. Not counting starts without a response was ruled out: a backend server may answer polls and no starts. Now starts that were under way when one was found to be lost are the same failure; the next one counts again. Responses with an error status count as before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendCommands.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendCommands.kt
@@ -23,8 +23,13 @@
     /** The run was not started. */
     public data class Rejected(val reason: RejectReason, val clockMs: Long?) : StartResult
 
-    /** It is unknown whether the run was started. */
-    public data class Unknown(val reason: String) : StartResult
+    /**
+     * It is unknown whether the run was started.
+     *
+     * @property hasResponse whether the backend server has responded, if only with an error. Otherwise it may be healthy
+     *   and the connection broken.
+     */
+    public data class Unknown(val reason: String, val hasResponse: Boolean = false) : StartResult
 }
 
 /** Why a run was not started. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -31,11 +31,20 @@
                     "dispatch", "start-unknown", "job", task.key.job, "task", task.key, "run", task.run,
                     "backend", row.info.id, "reason", result.reason,
                 )
-                health.recordFailure(row, result.reason, nowMs)
+                recordUnknown(row, task, result, nowMs)
             }
         }
     }
 
+    /** Connections break together, so starts that were under way at the same time and got no response count once. */
+    private fun recordUnknown(row: BackendRow, task: TaskRow, result: StartResult.Unknown, nowMs: Long) {
+        if (!result.hasResponse) {
+            if (task.dispatchedAtMs <= row.unansweredAtMs) return
+            row.unansweredAtMs = nowMs
+        }
+        health.recordFailure(row, result.reason, nowMs)
+    }
+
     private fun onStartRejected(row: BackendRow, task: TaskRow, reason: RejectReason, nowMs: Long) {
         log.event(
             "dispatch", "start-rejected", "job", task.key.job, "task", task.key, "run", task.run,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -237,6 +237,9 @@
     /** Estimated speed; run times are inversely proportional to it. */
     var speed = 1.0
     var failuresInRow = 0
+
+    /** Time at which a start without a response was last counted as a failure. */
+    var unansweredAtMs = NEVER_MS
     var ejectedUntilMs = NEVER_MS
     var ejections = 0
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LateResponseTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LateResponseTest.kt
@@ -64,6 +64,17 @@
         events("ejected").size shouldBe 1
     }
 
+    /** Guards against failures that are never counted, since starts follow each other closely. */
+    @Test
+    fun `a backend server that leaves a series of starts without a response is ejected`() {
+        sim.lateByMs = { 10_000 }
+        repeat(5) {
+            sim.submit(sim.job("j$it", tasks = 1, cpuMillis = 1_000))
+            sim.run(sim.nowMs + 60)
+        }
+        events("ejected").size shouldBe 1
+    }
+
     /** Guards against a lease that lasts longer than intended since a report, and the clock in it, was read late. */
     @Test
     fun `a report that is read late extends no lease beyond the usual one`() {
