--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendCommands.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendCommands.kt
@@ -26,8 +26,8 @@
     /**
      * It is unknown whether the run was started.
      *
-     * @property hasResponse whether the backend server has responded, if only with an error. Otherwise it may be healthy
-     *   and the connection broken.
+     * @property hasResponse whether the backend server has responded, if only with an error. Otherwise it may be
+     *   healthy and the connection broken.
      */
     public data class Unknown(val reason: String, val hasResponse: Boolean = false) : StartResult
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -300,8 +300,9 @@
     }
 
     /**
-     * Whether a request has probably not reached [peer], although this instance hears it. An owner sends short intervals
-     * once it has a request of this instance, and would itself notice only after the long interval that it hears nothing.
+     * Whether a request has probably not reached [peer], although this instance hears it. An owner sends short
+     * intervals once it has a request of this instance. It would itself notice only after the long interval that it
+     * hears nothing.
      */
     private fun isSilentTowards(peer: Peer, nowMs: Long): Boolean = peer.shortIntervalDueSinceMs != NEVER_MS &&
         nowMs - peer.shortIntervalDueSinceMs > settings.redialAfterMs
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
@@ -276,7 +276,11 @@
     fun onClosed(connection: SimulatedLinks.Connection) {
         val peer = peers[connection.peerOf(this).name] ?: return
         if (!peer.connections.remove(connection)) return
-        if (peer.connections.isEmpty()) dial(peer) else if (links.goSilent) onConnected(peer.name)
+        if (peer.connections.isEmpty()) {
+            dial(peer)
+        } else if (links.goSilent) {
+            onConnected(peer.name)
+        }
     }
 
     private companion object {
