--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -31,11 +31,20 @@
                     "dispatch", "start-unknown", "job", task.key.job, "task", task.key, "run", task.run,
                     "backend", row.info.id, "reason", result.reason,
                 )
-                health.recordFailure(row, result.reason, nowMs)
+                recordUnknown(row, task, result, nowMs)
             }
         }
     }
 
+    /** Connections break together, so starts that were under way at the same time and got no response count once. */
+    private fun recordUnknown(row: BackendRow, task: TaskRow, result: StartResult.Unknown, nowMs: Long) {
+        if (!result.hasResponse) {
+            if (task.dispatchedAtMs <= row.unansweredAtMs) return
+            row.unansweredAtMs = nowMs
+        }
+        health.recordFailure(row, result.reason, nowMs)
+    }
+
     private fun onStartRejected(row: BackendRow, task: TaskRow, reason: RejectReason, nowMs: Long) {
         log.event(
             "dispatch", "start-rejected", "job", task.key.job, "task", task.key, "run", task.run,
@@ -229,13 +238,17 @@
                 ends.stop(task, nowMs)
                 if (task.job.ended) actions.runsRemain(listOf(task.key))
             }
-        } else if (run.donePercent != task.donePercent) {
+            return
+        }
+        // A report may be read late, so the clock of the backend server tells how long there was no progress.
+        val stuckMs = clockMs - task.progressClockMs
+        if (run.donePercent != task.donePercent) {
             task.donePercent = run.donePercent
-            task.progressAtMs = nowMs
-        } else if (nowMs - task.progressAtMs > settings.hangTimeoutMs shl task.hangs.coerceAtMost(MAX_DOUBLINGS)) {
+            task.progressClockMs = clockMs
+        } else if (stuckMs > settings.hangTimeoutMs shl task.hangs.coerceAtMost(MAX_DOUBLINGS)) {
             log.event(
                 "dispatch", "run-hung", "job", task.key.job, "task", task.key, "run", task.run,
-                "backend", row.info.id, "percent", run.donePercent, "forMs", nowMs - task.progressAtMs,
+                "backend", row.info.id, "percent", run.donePercent, "forMs", stuckMs,
             )
             // If the task has hung on another backend server before, the task is the more likely cause.
             if (task.hangs++ == 0) {
@@ -271,7 +284,7 @@
         task.run = found.run
         task.job.everDispatched = true
         task.dispatchedAtMs = nowMs
-        task.progressAtMs = nowMs
+        task.donePercent = -1
         task.confirmedAtMs = row.backendClockMs(nowMs) ?: Long.MIN_VALUE
         log.event(
             "dispatch", "run-adopted", "job", task.key.job, "task", task.key, "run", task.run,
