Do not take a partition that resets connections for a crash

What callers saw: jobs without a crashing task were shown as failed (LOST) when a task of theirs was once on a backend server that crashed and once on one that a partition cut off, alone on one of the two.

Cause: a refused connection counted as proof that the process had ended. A partition that resets connections refuses new ones, too. The refutation came when the process answered again, seconds after the result.

Now a refusal proves a crash only if the backend server had closed the connection of a poll before, or if another process is found in its place.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendCommands.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendCommands.kt
@@ -87,9 +87,15 @@
     /** The backend server has received a higher token from another instance. */
     public data object Fenced : PollResult
 
-    /** The connection was refused: no process listens at the address. */
+    /** The connection was refused: no process listens at the address, or a partition rejects connections. */
     public data object Refused : PollResult
 
+    /**
+     * The backend server has closed the connection instead of responding, as a process does that ends. A partition
+     * can only reset connections.
+     */
+    public data object Closed : PollResult
+
     /** Another process listens at the address. */
     public data object Replaced : PollResult
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -5,9 +5,10 @@
 /**
  * Finds out which tasks crash the backend servers that start them, and decides when a task is given up.
  *
- * A crash counts for each task whose run may have been active. It shows by a refused connection or by another process
- * under the same id or address. Silence alone is no evidence, since a partition or a pause looks the same, but the task
- * waits if it might have crashed as many backend servers as are allowed. A backend server that was about to leave does
+ * A crash counts for each task whose run may have been active. It shows by a connection that is closed, with new ones
+ * refused, or by another process under the same id or address. Silence, or refused connections alone, are no evidence,
+ * since a partition or a pause looks the same, but the task waits if it might have crashed as many backend servers as
+ * are allowed. A backend server that was about to leave does
  * not count. A crash is refuted if the process is reached again. All of this holds as well if the backend server is
  * no longer listed when its process is lost, or when another one is found in its place.
  *
@@ -41,7 +42,7 @@
             return
         }
         val wasAlone = runs.size == 1 && row.unknownRuns.isEmpty()
-        val isProven = evidence != CrashEvidence.SILENT
+        val isProven = evidence == CrashEvidence.CLOSED || evidence == CrashEvidence.REPLACED
         val crash = crashOf(row, wasAlone, isJoint = false, isProven)
         val changed = runs.mapNotNull { (task, run) ->
             val ofRun = crash.copy(run = run.run, isConfirmed = run.isConfirmed)
@@ -241,4 +242,16 @@
 }
 
 /** How it was noticed that a process of a backend server may have ended. */
-internal enum class CrashEvidence { REFUSED, REPLACED, SILENT }
+internal enum class CrashEvidence {
+    /** It has closed its connection and new ones are refused. */
+    CLOSED,
+
+    /** Connections are refused, which a partition that resets connections does as well. */
+    REFUSED,
+
+    /** Another process is found in its place. */
+    REPLACED,
+
+    /** It does not answer. */
+    SILENT,
+}
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -87,13 +87,20 @@
                 row.isDisplaced = true
             }
 
-            is PollResult.Failed -> {
-                row.isRefusing = false
-                losses.markUnreachable(row, result.reason, nowMs)
+            PollResult.Closed -> {
+                row.isClosed = true
+                onPollFailed(row, "connection closed", nowMs)
             }
+
+            is PollResult.Failed -> onPollFailed(row, result.reason, nowMs)
         }
     }
 
+    private fun onPollFailed(row: BackendRow, reason: String, nowMs: Long) {
+        row.isRefusing = false
+        losses.markUnreachable(row, reason, nowMs)
+    }
+
     private fun onReport(row: BackendRow, report: PollResult.Report, nowMs: Long) {
         if (row.info.incarnation != 0L && report.incarnation != row.info.incarnation) {
             if (report.incarnation in row.formerIncarnations) return
@@ -111,6 +118,7 @@
         crashes.onReport(row, nowMs)
         row.unreachableSinceMs = NEVER_MS
         row.isRefusing = false
+        row.isClosed = false
         row.isDisplaced = false
         row.clockOffsetMs = report.clockMs - nowMs
         row.lastReportAtMs = nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -220,6 +220,9 @@
     /** Whether the last poll or start was refused: no process listens at the address, or a partition rejects it. */
     var isRefusing = false
 
+    /** Whether the backend server has closed the connection of a poll, and has not been reached since. */
+    var isClosed = false
+
     /** Task that runs, or will run, without others on the backend server. */
     var reservedFor: TaskRow? = null
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -27,7 +27,7 @@
     fun markRefused(row: BackendRow, nowMs: Long) {
         row.isRefusing = true
         markUnreachable(row, "connection refused", nowMs)
-        crashes.recordCrash(row, CrashEvidence.REFUSED, nowMs)
+        crashes.recordCrash(row, if (row.isClosed) CrashEvidence.CLOSED else CrashEvidence.REFUSED, nowMs)
     }
 
     private fun logInterrupted(row: BackendRow, cause: String) {
@@ -56,6 +56,7 @@
         if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
         crashes.recordCrash(row, CrashEvidence.REPLACED, nowMs)
         row.lapsedRuns = emptyMap()
+        row.isClosed = false
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
         row.unknownRuns.clear()
         row.unclaimedCompletions.clear()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -235,7 +235,7 @@
             val answer = answer@{
                 if (!responded) {
                     responded = true
-                    if (crashed) return@answer respond(PollResult.Failed("connection closed"))
+                    if (crashed) return@answer respond(PollResult.Closed)
                     val listed = running.filter { listsStoppingRuns || !it.value.isStopping }
                     respond(PollResult.Report(nowMs, info.incarnation, listed.map(::runProgress), ended.toList()))
                 }
