Do not count a crash for a run whose lease had ended before

What callers would see: a job is shown as failed although only one backend server crashed under its task.

Cause: a run in the state RUNNING counted as active when the loss of its backend server was noticed, however late that was.

Now it counts as confirmed only if its lease had not ended when the loss was noticed.

The new test of InnocentTaskTest failed before with "a task has crashed 2 backend servers".

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/CrashSystem.kt
@@ -31,7 +31,7 @@
 
     /** The process of [row] seems to have ended. */
     fun recordCrash(row: BackendRow, evidence: CrashEvidence, nowMs: Long) {
-        record(row, row.lapsedRuns + row.runs, evidence, nowMs)
+        record(row, row.lapsedRuns + row.lostRuns(nowMs), evidence, nowMs)
         if (evidence == CrashEvidence.REPLACED) proveLosses(row, nowMs) { it.incarnation == row.info.incarnation }
     }
 
@@ -76,7 +76,7 @@
         unlisted.removeIf { nowMs - it.sinceMs > settings.historyRetentionMs }
         unlisted += UnlistedBackend(row, nowMs)
         if (row.isUnreachable) reviewLoss(row, nowMs)
-        row.lapsedRuns += row.runs
+        row.lapsedRuns += row.lostRuns(nowMs)
     }
 
     /** Runs on the backend servers of [failureDomain] may have ended under the next owner before their processes do. */
@@ -89,11 +89,12 @@
      * same time, the tasks are not the likely cause.
      */
     fun reviewLoss(row: BackendRow, nowMs: Long) {
-        if (!row.isRefusing) record(row, row.runs, CrashEvidence.SILENT, nowMs)
+        if (!row.isRefusing) record(row, row.lostRuns(nowMs), CrashEvidence.SILENT, nowMs)
         val lost = lostTogetherWith(row)
         if (!isJointLoss(row, lost)) return
         val crash = crashOf(row, wasAlone = false, isJoint = true, isProven = false)
-        val cleared = row.runs.filterKeys { tables.histories.find(it) != null }.mapNotNull { (task, run) ->
+        val known = row.lostRuns(nowMs).filterKeys { tables.histories.find(it) != null }
+        val cleared = known.mapNotNull { (task, run) ->
             val ofRun = crash.copy(run = run.run, isConfirmed = run.isConfirmed)
             merge(TaskHistory(task, crashes = listOf(ofRun)), nowMs)
         }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -229,9 +229,15 @@
     /** Runs whose leases have expired while the backend server was silent. It may turn out to have crashed. */
     var lapsedRuns: Map<TaskKey, LostRun> = emptyMap()
 
-    /** The runs of [tasks]. */
-    val runs: Map<TaskKey, LostRun>
-        get() = tasks.mapValues { (_, task) -> LostRun(task.run, isConfirmed = task.state == TaskState.RUNNING) }
+    /**
+     * The runs of [tasks], of which the loss is noticed at [nowMs] or was noticed when the backend server became
+     * unreachable. They may have ended before if their lease had: an owner that was suspended notices a loss late.
+     */
+    fun lostRuns(nowMs: Long): Map<TaskKey, LostRun> {
+        val noticedAtMs = if (isUnreachable) unreachableSinceMs else nowMs
+        val isLeased = lease.latestEndMs >= noticedAtMs
+        return tasks.mapValues { (_, task) -> LostRun(task.run, isLeased && task.state == TaskState.RUNNING) }
+    }
 
     /** Estimated speed; run times are inversely proportional to it. */
     var speed = 1.0
@@ -284,7 +290,7 @@
     fun backendClockMs(nowMs: Long): Long? = clockOffsetMs?.let { it + nowMs }
 }
 
-/** A run that may be lost with its backend server, which may not have executed the start unless [isConfirmed]. */
+/** A run that may be lost with its backend server. Unless [isConfirmed], it may not have begun or have ended before. */
 internal class LostRun(val run: Int, val isConfirmed: Boolean)
 
 /** A run reported by a backend server that belongs to no job here. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -119,7 +119,7 @@
         log.event("backend", "leases-lapsed", "backend", row.info.id, "tasks", row.tasks.size)
         logInterrupted(row, if (row.isRefusing) "REFUSED" else "SILENT")
         crashes.reviewLoss(row, nowMs)
-        if (!row.isRefusing) row.lapsedRuns += row.runs
+        if (!row.isRefusing) row.lapsedRuns += row.lostRuns(nowMs)
         row.tasks.values.toList().forEach { requeue(it, nowMs) }
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/TaskHistory.kt
@@ -12,7 +12,8 @@
  * @property isRefuted whether the process was reached again.
  * @property address where the process was reached, see [BackendInfo.address]. A process that replaces it may have
  *   another id.
- * @property isConfirmed whether the run was known to be active. Otherwise the process may have ended before its start.
+ * @property isConfirmed whether the run was known to be active. Otherwise the process may have ended before its start
+ *   or after its lease.
  * @property run the run that was lost. Once that is refuted, a later run may still be lost with the same process.
  */
 @Serializable
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/InnocentTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/InnocentTaskTest.kt
@@ -55,4 +55,28 @@
         sim.results[innocent.job] shouldBe JobResult.Complete
         sim.concurrentRuns.size shouldBe 0
     }
+
+    /**
+     * Guards against counting a crash for a run whose lease had ended before, as an owner did that had been suspended
+     * (caroni-fold with seed 9103: three backend servers that had crashed under the next owner).
+     */
+    @Test
+    fun `a crash after the lease of a run is not counted by an owner that was suspended`() {
+        val sim = simulation(emptyList())
+        sim.workMs = { 6_000 }
+        sim.run(sim.nowMs + 300)
+        val lost = sim.backendOfInnocent()
+        val owner = sim.owners.single()
+        owner.isFrozen = true
+        sim.run(sim.nowMs + 1_500)
+        lost.running.isEmpty() shouldBe true
+        lost.stopProcess()
+        sim.run(sim.nowMs + 500)
+        owner.isFrozen = false
+        sim.run(sim.nowMs + 4_000)
+        sim.backendOfInnocent().stopProcess()
+        sim.run(sim.nowMs + 15_000)
+        sim.results[innocent.job] shouldBe JobResult.Complete
+        sim.concurrentRuns.size shouldBe 0
+    }
 }
