Add a failing test of a reply to an earlier process

An owner that was paused meanwhile reports to the earlier process that no task of the job was started. The number of the request is the same in both processes, so the new one takes the report for one of its present owner, which runs the job, and sends it on as not started.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -92,6 +92,22 @@
         sent.map { it.first } shouldContainExactly listOf("a", "a")
     }
 
+    /**
+     * Guards against a reply of an owner that was paused to an earlier process of this instance. It says that no task was
+     * started of a job that runs at another owner by now.
+     */
+    @Test
+    fun `a restarted instance ignores replies to its earlier process`() {
+        submit()
+        val earlier = sent.last().second.number
+        val restarted = EntryService(clock, ownerClient) { _, _, _ -> }
+        restarted.submit(job, "r", timeoutMs = 2_000) { results += it }
+        owners.clear()
+        owners += "b"
+        restarted.onMoved(earlier, job.id, JobProgress(ordered = emptyList()))
+        sent.map { it.first } shouldContainExactly listOf("a", "a")
+    }
+
     /** Guards against an old request that is taken for a new one, since the process was paused when it arrived. */
     @Test
     fun `a request that is read after a pause may have waited during it`() {
