Begin the numbers of requests at a random one in each process

Callers may see a task run twice at the same time: they send a job again through an instance that was restarted, an owner that was paused reports to the process before that it has started nothing of the job, and the job is sent to that owner while its present one runs it.

Cause: requests were numbered from 1 in each process, and a reply is told from others by the number and the job only. The class is an identifier that another process uses again. The same numbers name the requests at owners (JobOrigin), in renewals and in the results kept for repeated submissions, so all of them are mended by it.

A check of the sender of a reply was ruled out: it leaves the uses at the owners, and the restarted instance may send the job to the same owner.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -1,5 +1,6 @@
 package medlarroute.dispatch
 
+import kotlin.random.Random
 import kotlin.time.TimeSource
 
 /** Selects owners of the backend servers and sends jobs to them. */
@@ -29,10 +30,14 @@
  *
  * A job is submitted to the owner of the backend servers. If that owner hands over, dies or becomes unreachable, the
  * job is submitted to the next owner with its known progress. Not thread-safe.
+ *
+ * @param firstNumber number of the first request. It differs between the processes of an instance, so that no reply to an
+ *   earlier one is taken for a reply to a request of this one.
  */
 public class EntryService internal constructor(
     clock: TimeSource.WithComparableMarks,
     private val ownerClient: OwnerClient,
+    firstNumber: Long = Random.nextLong(1, MAX_FIRST_NUMBER),
     private val log: EventLog,
 ) {
     private class PendingRequest(
@@ -76,7 +81,7 @@
     private val elapsed = ElapsedClock(clock)
     private val pending = LinkedHashMap<Long, PendingRequest>()
     private val pendingByNumber = HashMap<Long, PendingRequest>()
-    private var nextNumber = 1L
+    private var nextNumber = firstNumber
 
     public val openRequests: Int get() = pending.size
 
@@ -182,10 +187,7 @@
         request.progress = progress?.copy(ordered = null)
     }
 
-    /**
-     * The pending request with [number], provided that it is for [job]. An earlier incarnation of this instance may
-     * have used the same number for another job.
-     */
+    /** The pending request with [number], provided that it is for [job]. */
     private fun find(number: Long, job: JobId): PendingRequest? = pendingByNumber[number]?.takeIf { it.job.id == job }
 
     internal fun onResult(number: Long, job: JobId, result: JobResult) {
@@ -321,6 +323,9 @@
     }
 
     private companion object {
+        /** Keeps the numbers in heartbeats short; the requests of two processes rarely overlap. */
+        const val MAX_FIRST_NUMBER = 1_000_000_000L
+
         /** Several ticks; a loaded instance is rarely later. */
         const val PAUSE_MS = 300L
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -54,7 +54,7 @@
     private val ownerReports = OwnerReports(settings.self.instance, dispatcher, selection, network, log)
 
     /** Open requests of this instance's callers. */
-    public val entry: EntryService = EntryService(clock, ownerClient, log)
+    public val entry: EntryService = EntryService(clock, ownerClient, log = log)
 
     /** The current configuration; null until the first one is received. */
     public var configuration: DispatchConfiguration? = null
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -31,7 +31,7 @@
         ownLoadPercent = { 0 },
     )
 
-    val service = EntryService(clock, this, fleet.sim.traceLog(name))
+    val service = EntryService(clock, this, firstNumber = member.number * NUMBERS_PER_PROCESS, fleet.sim.traceLog(name))
 
     override fun ownerOrNull(): String? = selection.ownerOrNull()
 
@@ -66,6 +66,11 @@
     }
 
     override fun ownershipTick() = service.tick()
+
+    private companion object {
+        /** More than a process uses. */
+        const val NUMBERS_PER_PROCESS = 100_000L
+    }
 }
 
 /** An instance that may own failure domains, with its dispatcher. It answers entries as [FleetInstance] does. */
