Let a new owner wait for failure domains, not for owners that it knows

Callers may see a task run twice at the same time when several owners are restarted, killed, paused or replaced within about a second and the caller has sent the job again: a process that has just started becomes an owner and starts the job beside runs of the first submission.

Cause: a new owner waits until the others have told it of their jobs, or have been silent for as long as a run may go on. It took an owner that it had not heard for none: one to which it isn't connected yet, one that was paused or killed before its start, and one of which a later process was heard. The class is one of evidence: what is not known counted as absent.

Now it waits for each failure domain without a reachable owner, until an owner of it has told, or until 1.08 s after an owner of it was last heard or its own process has started. Runs of an owner that lived longer would have been heard. A domain that never had a record in the store is not awaited, so that a first start waits for nothing. owners-awaited logs it.

Ruled out: waiting for unheard instances, since large deployments don't connect to all and a later process hides the lost one; the time that a submission is on its way, which is in none of the traces.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -31,8 +31,8 @@
  * A job is submitted to the owner of the backend servers. If that owner hands over, dies or becomes unreachable, the
  * job is submitted to the next owner with its known progress. Not thread-safe.
  *
- * @param firstNumber number of the first request. It differs between the processes of an instance, so that no reply to an
- *   earlier one is taken for a reply to a request of this one.
+ * @param firstNumber number of the first request. It differs between the processes of an instance, so that no reply to
+ *   an earlier one is taken for a reply to a request of this one.
  */
 public class EntryService internal constructor(
     clock: TimeSource.WithComparableMarks,
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -51,7 +51,8 @@
         heartbeatOf = network::heartbeatOf,
         ownLoadPercent = dispatcher::loadPercent,
     )
-    private val ownerReports = OwnerReports(settings.self.instance, dispatcher, selection, network, log)
+    private val domainOwners = DomainOwnerTimes(clock, settings.failureDomains, ownership::neverOwned, selection)
+    private val ownerReports = OwnerReports(settings.self.instance, dispatcher, selection, network, domainOwners, log)
 
     /** Open requests of this instance's callers. */
     public val entry: EntryService = EntryService(clock, ownerClient, log = log)
@@ -444,7 +445,7 @@
             } else if (withoutStore.add(peer.instance)) {
                 network.send(peer.instance, PeerMessage.Members(network.members() + self))
             }
-            if (heartbeat.owned.isNotEmpty()) ownerReports.onOwnerHeard(peer.instance)
+            if (heartbeat.owned.isNotEmpty()) ownerReports.onOwnerHeard(peer.instance, heartbeat.owned.keys)
             val current = configuration ?: return
             if (heartbeat.configurationVersion < current.version) {
                 network.send(peer.instance, PeerMessage.Configuration(current))
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -25,26 +25,54 @@
     /** The other owners that have not yet told which jobs are open there, with the end of the wait for each. */
     private val awaitedUntilMs = HashMap<String, Long>()
 
+    /** Failure domains of which no owner has told, with the end of the runs that a lost one may have started. */
+    private val awaitedDomainsUntilMs = HashMap<String, Long>()
+
     /** End of the time in which instances submit the jobs of a lost owner. */
     private var resubmissionsUntilMs = NEVER_MS
 
     /**
      * This instance has become an owner. It starts no new job before it knows of the jobs that are open elsewhere.
      *
-     * @param heardMsAgo the other owners, and those that are silent and may live, with the time since the last message
-     *   of each. Runs of one that has stopped end with their leases.
+     * @param heardMsAgo the other owners, with the time since the last message of each. Runs of one that has stopped
+     *   end with their leases.
      * @param wasReleased whether the previous owner has told the instances that wait for its jobs.
+     * @param unownedHeardMsAgo failure domains without a reachable owner, with the time for which none may have lived.
      */
-    fun onAcquired(heardMsAgo: Map<String, Long>, wasReleased: Boolean) {
+    fun onAcquired(
+        heardMsAgo: Map<String, Long>,
+        wasReleased: Boolean,
+        unownedHeardMsAgo: Map<String, Long> = emptyMap(),
+    ) {
         val nowMs = clock.nowMs()
         awaitedUntilMs.clear()
         heardMsAgo.mapValuesTo(awaitedUntilMs) { (_, agoMs) -> nowMs + MAX_LEASE_MS + STOP_MARGIN_MS - agoMs }
+        awaitedDomainsUntilMs.clear()
+        unownedHeardMsAgo.mapValuesTo(awaitedDomainsUntilMs) { (_, agoMs) ->
+            nowMs + MAX_LEASE_MS + STOP_MARGIN_MS - agoMs
+        }
+        awaitedDomainsUntilMs.values.removeIf { it <= nowMs }
         if (!wasReleased) resubmissionsUntilMs = nowMs + settings.resubmissionMs
+        if (awaitedDomainsUntilMs.isNotEmpty()) {
+            log.event(
+                "dispatch",
+                "owners-awaited",
+                "owners",
+                awaitedUntilMs.keys,
+                "domains",
+                awaitedDomainsUntilMs.keys,
+                "forMs",
+                awaitedDomainsUntilMs.values.max() - nowMs,
+            )
+        }
     }
 
     private fun isReady(nowMs: Long): Boolean {
         awaitedUntilMs.values.removeIf { nowMs >= it }
-        return awaitedUntilMs.isEmpty() && nowMs >= resubmissionsUntilMs
+        awaitedDomainsUntilMs.values.removeIf { nowMs >= it }
+        // The runs in a failure domain that this instance has acquired since are reported by its backend servers.
+        awaitedDomainsUntilMs -= tables.tokens.keys
+        return awaitedUntilMs.isEmpty() && awaitedDomainsUntilMs.isEmpty() && nowMs >= resubmissionsUntilMs
     }
 
     /** The owner other than this instance at which [job] is open; null if there is none, or the job is open here. */
@@ -103,10 +131,18 @@
      *
      * @param hasPrecedence whether [owner] keeps the jobs that both owners have announced and neither runs. Otherwise
      *   the one keeps them that has announced them first.
+     * @param owned failure domains of [owner].
      */
-    fun onAnnounced(owner: String, running: List<JobId>, waiting: List<JobId>, hasPrecedence: Boolean) {
+    fun onAnnounced(
+        owner: String,
+        running: List<JobId>,
+        waiting: List<JobId>,
+        hasPrecedence: Boolean,
+        owned: Set<String> = emptySet(),
+    ) {
         val nowMs = clock.nowMs()
         awaitedUntilMs -= owner
+        awaitedDomainsUntilMs -= owned
         val untilMs = nowMs + longestRunMs(settings)
         val objections = ArrayList<JobRow>(0)
         for (id in running + waiting) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -9,6 +9,7 @@
     private val dispatcher: Dispatcher,
     private val selection: OwnerSelection,
     private val network: PeerNetwork,
+    private val domainOwners: DomainOwnerTimes,
     private val log: EventLog,
 ) {
     /** The other owners that have been told of the runs and jobs here. */
@@ -21,12 +22,14 @@
         // Several failure domains may be acquired together.
         val isNewOwner = dispatcher.nowMs() - ownerSinceMs < CLAIM_MS
         if (isNewOwner && network.views().isNotEmpty()) {
-            val heardMsAgo = selection.otherPossibleOwners().associateWith(network::heartbeatAgeMs)
-            dispatcher.openJobSystem.onAcquired(heardMsAgo, wasReleased)
+            val heardMsAgo = selection.otherOwners().associateWith(network::heartbeatAgeMs)
+            dispatcher.openJobSystem.onAcquired(heardMsAgo, wasReleased, domainOwners.unownedHeardMsAgo())
         }
     }
 
-    fun onOwnerHeard(owner: String) {
+    /** A heartbeat of [owner] has arrived, which owns [owned]. */
+    fun onOwnerHeard(owner: String, owned: Set<String>) {
+        domainOwners.onHeard(owned)
         if (owner !in informedOwners) informNewOwners()
     }
 
@@ -57,7 +60,8 @@
     fun onReceived(owner: String, message: PeerMessage.ActiveRuns) {
         dispatcher.learnActiveRuns(message.tasks)
         val hasPrecedence = owner < instance
-        dispatcher.openJobSystem.onAnnounced(owner, message.running, message.waiting, hasPrecedence)
+        val owned = network.heartbeatOf(owner)?.owned?.keys.orEmpty()
+        dispatcher.openJobSystem.onAnnounced(owner, message.running, message.waiting, hasPrecedence, owned)
     }
 
     private companion object {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
@@ -24,15 +24,11 @@
     fun otherOwners(): Set<String> =
         owners().mapTo(HashSet()) { it.member.instance }.also { it -= own().member.instance }
 
-    /**
-     * The other owners. If each failure domain has its own, also silent instances that own one which no reachable
-     * instance owns.
-     */
-    fun otherPossibleOwners(): Set<String> {
-        if (!isPerDomain()) return otherOwners()
-        val covered = owners().flatMapTo(HashSet()) { it.owned.keys }
-        val silent = peers().filter { it.state != PeerState.ALIVE && !covered.containsAll(it.owned.keys) }
-        return otherOwners() + silent.map { it.member.instance }
+    /** Those of [failureDomains] that no reachable instance owns; none unless each has an owner of its own. */
+    fun unowned(failureDomains: Collection<String>): List<String> {
+        if (!isPerDomain()) return emptyList()
+        val owned = owners().flatMapTo(HashSet()) { it.owned.keys }
+        return failureDomains.filter { it !in owned }
     }
 
     /** Loads of the other owners in percent. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Ownership.kt
@@ -47,6 +47,10 @@
     /** Whether each failure domain has an owner of its own, as deployments need that are too large for a single one. */
     public var isPerDomain: Boolean = false
 
+    /** Failure domains that had no record when the store was last read, as at the first start of a deployment. */
+    internal val neverOwned: Set<String>
+        get() = domains.values.filter { it.changedAtMs != null && it.record == null }.mapTo(HashSet()) { it.name }
+
     /** Whether this instance is about to claim a failure domain that has no owner. */
     public val isClaiming: Boolean get() = unownedSinceMs != null
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -93,8 +93,8 @@
     }
 
     /**
-     * Guards against a reply of an owner that was paused to an earlier process of this instance. It says that no task was
-     * started of a job that runs at another owner by now.
+     * Guards against a reply of an owner that was paused to an earlier process of this instance. It says that no task
+     * was started of a job that runs at another owner by now.
      */
     @Test
     fun `a restarted instance ignores replies to its earlier process`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -101,6 +101,19 @@
         a.lost.shouldBeEmpty()
     }
 
+    /** Guards against a first start at which new owners wait for those of failure domains that never had one. */
+    @Test
+    fun `a failure domain without a record has never been owned`() {
+        a.ownership.isPerDomain = true
+        a.ownership.neverOwned.shouldBeEmpty()
+        run(200, nodes = listOf(a)) { emptyList() }
+        a.ownership.neverOwned shouldBe setOf("d2")
+        b.ownership.isPerDomain = true
+        run(500, nodes = listOf(a, b)) { node -> listOf(a, b).filter { it !== node }.map { it.view() } }
+        b.ownership.owned.keys shouldBe setOf("d2")
+        b.ownership.neverOwned.shouldBeEmpty()
+    }
+
     /**
      * Guards against a takeover in a partition that rejects connections: a refused connection does not prove a peer
      * dead.
