--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -51,10 +51,17 @@
         heartbeatOf = network::heartbeatOf,
         ownLoadPercent = dispatcher::loadPercent,
     )
-    private val ownerReports = OwnerReports(settings.self.instance, dispatcher, selection, network, log)
+    private val domainOwners = DomainOwnerTimes(
+        clock,
+        settings.failureDomains,
+        ownership::neverOwned,
+        selection,
+        network::listeningMs,
+    )
+    private val ownerReports = OwnerReports(settings.self.instance, dispatcher, selection, network, domainOwners, log)
 
     /** Open requests of this instance's callers. */
-    public val entry: EntryService = EntryService(clock, ownerClient, log)
+    public val entry: EntryService = EntryService(clock, ownerClient, log = log)
 
     /** The current configuration; null until the first one is received. */
     public var configuration: DispatchConfiguration? = null
@@ -446,7 +453,7 @@
                 network.send(peer.instance, PeerMessage.Members(network.members() + self))
             }
             if (heartbeat.owned.isNotEmpty()) {
-                ownerReports.onOwnerHeard(peer.instance)
+                ownerReports.onOwnerHeard(peer.instance, heartbeat.owned.keys)
             } else {
                 ownerReports.forget(peer.instance)
             }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -156,6 +156,9 @@
         return minOf(sinceHeartbeatMs, listening.elapsedMs(nowMs))
     }
 
+    /** For how long this process has been able to receive messages, see [ListeningTime]. */
+    internal fun listeningMs(): Long = listening.elapsedMs(nowMs())
+
     /** Time since this instance has sent the heartbeat with [sentAtMs]; null if another process has sent it. */
     public fun ageMsOrNull(sentAtMs: Long): Long? = peerClock.ageMsOrNull(sentAtMs)
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryConcurrentRunScenario.kt
@@ -25,7 +25,8 @@
 ) {
     private val clock = TestTimeSource()
     private val sim = SimulatedBackends(clock)
-    private val fleet = SimulatedFleet(sim, clock, random, OWNERS, ENTRIES, silencesConnections, ::newClockRate)
+    private val fleet =
+        SimulatedFleet(sim, clock, random, OWNERS, ENTRIES, DOMAINS, silencesConnections, ::newClockRate)
     private val owners = HashMap<String, SimulatedOwner>()
     private val entries = HashMap<String, SimulatedEntry>()
     private val ownership = SimulatedOwnership(fleet) { OWNERS.mapNotNull { owners[it] } }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/NewOwnerWaitTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/NewOwnerWaitTest.kt
@@ -78,7 +78,8 @@
         )
         val log = EventLog { _, _, _ -> }
         val network = PeerNetwork({ self }, PeerNetworkSettings(), group, sim.clock, UnusedListener, log)
-        return OwnerReports("o1", owner.dispatcher, selection, network, log)
+        val domainOwners = DomainOwnerTimes(sim.clock, listOf("d1"), { emptySet() }, selection, network::listeningMs)
+        return OwnerReports("o1", owner.dispatcher, selection, network, domainOwners, log)
     }
 
     private object UnusedListener : PeerListener {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SilentConnectionAnswerTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SilentConnectionAnswerTest.kt
@@ -9,7 +9,7 @@
     private class Scenario(private val random: Random) {
         private val clock = TestTimeSource()
         private val sim = SimulatedBackends(clock)
-        private val fleet = SimulatedFleet(sim, clock, random, OWNERS, ENTRIES, goSilent = true)
+        private val fleet = SimulatedFleet(sim, clock, random, OWNERS, ENTRIES, DOMAINS, goSilent = true)
         private val owners = ArrayList<SimulatedOwner>()
         private val ownership = SimulatedOwnership(fleet) { owners }
         private val entries = ArrayList<SimulatedEntry>()
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -10,6 +10,7 @@
     val random: Random,
     val ownerNames: List<String>,
     val entryNames: List<String>,
+    val failureDomains: List<String>,
     goSilent: Boolean = false,
     private val newRate: () -> Double = { 1.0 },
 ) {
@@ -33,7 +34,7 @@
         ownLoadPercent = { 0 },
     )
 
-    val service = EntryService(clock, this, fleet.sim.traceLog(name))
+    val service = EntryService(clock, this, firstNumber = member.number * NUMBERS_PER_PROCESS, fleet.sim.traceLog(name))
 
     override fun ownerOrNull(): String? = selection.ownerOrNull()
 
@@ -68,6 +69,11 @@
     }
 
     override fun ownershipTick() = service.tick()
+
+    private companion object {
+        /** More than a process uses. */
+        const val NUMBERS_PER_PROCESS = 100_000L
+    }
 }
 
 /** An instance that may own failure domains, with its dispatcher. It answers entries as [FleetInstance] does. */
@@ -93,6 +99,7 @@
         heartbeatOf = ::heartbeatOf,
         ownLoadPercent = { 0 },
     )
+    private val domainOwners = DomainOwnerTimes(clock, fleet.failureDomains, { emptySet() }, selection, ::listeningMs)
     private val lostInstances = HashSet<String>()
     private var informedOwners: Set<String> = emptySet()
     private val released = HashMap<String, Long>()
@@ -126,8 +133,9 @@
         tokens[failureDomain] = token
         dispatcher.acquire(failureDomain, token)
         if (isFirst) {
-            val silenceMs = selection.otherPossibleOwners().associateWith(::silenceMs)
-            dispatcher.openJobSystem.onAcquired(silenceMs, wasReleased = false)
+            val silenceMs = selection.otherOwners().associateWith(::silenceMs)
+            val unownedSilenceMs = domainOwners.unownedSilenceMs()
+            dispatcher.openJobSystem.onAcquired(silenceMs, wasReleased = false, unownedSilenceMs)
         }
         updateBackends()
         sendHeartbeatNow()
@@ -203,6 +211,7 @@
                     peerClock.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer, renewal.requests, it) }
                 }
                 if (message.owned.isEmpty()) informedOwners -= peer
+                domainOwners.onHeard(message.owned.keys)
                 if (tokens.isNotEmpty() && message.owned.isNotEmpty() && peer !in informedOwners) informNewOwners()
             }
 
@@ -214,7 +223,8 @@
 
             is PeerMessage.ActiveRuns -> {
                 dispatcher.learnActiveRuns(message.tasks)
-                dispatcher.openJobSystem.onAnnounced(peer, message.jobs, peer < name)
+                val owned = heartbeatOf(peer)?.owned?.keys.orEmpty()
+                dispatcher.openJobSystem.onAnnounced(peer, message.jobs, peer < name, owned)
             }
 
             else -> Unit
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedProcess.kt
@@ -163,7 +163,9 @@
     }
 
     protected fun silenceMs(peer: String): Long =
-        minOf(nowMs() - (peers[peer]?.heartbeatReceivedAtMs ?: NEVER_MS), listening.elapsedMs(nowMs()))
+        minOf(nowMs() - (peers[peer]?.heartbeatReceivedAtMs ?: NEVER_MS), listeningMs())
+
+    protected fun listeningMs(): Long = listening.elapsedMs(nowMs())
 
     protected fun heardAtMsOrNull(peer: String): Long? =
         peers[peer]?.takeIf { it.heartbeatReceivedAtMs != NEVER_MS }?.heartbeat?.sentAtMs
