--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -82,6 +82,33 @@
         sent.last().second.progress shouldBe JobProgress()
     }
 
+    /**
+     * Guards against runs at two owners for one caller: it has left and comes again, and this instance has not learned
+     * that the first connection is gone.
+     */
+    @Test
+    fun `a second request for an open job is submitted to the owner of the first as one that may have run`() {
+        owners += "b"
+        submit()
+        owners -= "a"
+        owners += "a"
+        submit()
+        sent.map { it.first } shouldContainExactly listOf("a", "a")
+        sent.last().second.progress shouldBe JobProgress()
+    }
+
+    /** Guards against a request that waits for an owner which has died. */
+    @Test
+    fun `a second request for an open job whose owner is unreachable is submitted to a reachable one`() {
+        owners += "b"
+        submit()
+        alive -= "a"
+        owners -= "a"
+        submit()
+        sent.map { it.first } shouldContainExactly listOf("a", "b")
+        sent.last().second.progress shouldBe JobProgress()
+    }
+
     /** Guards against a job that is submitted to an owner which has died. */
     @Test
     fun `a job that is open at an unreachable owner is submitted to a reachable one`() {
