Submit a second request for an open job to the owner of the first

Callers may see tasks run twice at the same time: a caller leaves and sends its job again to the same instance, which has not learned that the first connection is gone.

Cause: the instance submitted the second request as a new job to the nearest owner, whatever owner it had the first one open at. Only the announcement of open jobs between the owners kept them from starting it both, and that does not reach an owner that is new or cut off.

The second request now goes to the owner of the first, if that can be reached, and in any case as one that may have run.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -101,8 +101,10 @@
         val nowMs = nowMs()
         val unreadMs = unreadMs(nowMs)
         val request = PendingRequest(nextNumber++, job, requestId, nowMs, unreadMs, nowMs + timeoutMs, onResult)
+        val earlier = pending.values.filter { it.job.id == job.id }
+        request.mayHaveRun = earlier.isNotEmpty()
         pending[request.handle] = request
-        val owner = ownerClient.ownerOrNull()
+        val owner = ownerOf(earlier) ?: ownerClient.ownerOrNull()
         log.event(
             "entry", "job-received", "request", requestId, "job", job.id, "queue", job.queue,
             "tasks", job.steps.sumOf { it.taskCount }, "timeoutMs", timeoutMs, "owner", owner, "entry", request.handle,
@@ -119,6 +121,13 @@
         return request.handle
     }
 
+    /**
+     * The owner at which one of [requests] is open, if it can still be reached. A caller that comes again may have left
+     * without notice; another owner would run the job beside the first one.
+     */
+    private fun ownerOf(requests: List<PendingRequest>): String? =
+        requests.mapNotNull { it.owner }.lastOrNull { ownerClient.isAlive(it) && ownerClient.isOwner(it) }
+
     /** Withdraws a request whose caller has disconnected. */
     public fun cancel(handle: Long) {
         val request = pending[handle] ?: return
