Add a failing test of a request that is read late after a pause

Soak with suspensions, 24 instances: i13 is suspended for 2.9 s. A request that a caller sends meanwhile is read 0.2 s after it wakes, 2.1 s after it was sent, with "unreadMs":0. Its connection had to be accepted first, and two ticks had passed by then.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -131,11 +131,21 @@
         entry.tick()
         submit()
         sent.last().second.unreadMs shouldBe 2_000
-        advance(ms = 50)
+        repeat(10) { advance(ms = 50) }
         submit()
         sent.last().second.unreadMs shouldBe 0
     }
 
+    /** Guards against the same with a connection that was accepted only some ticks after the pause. */
+    @Test
+    fun `a request that is read some ticks after a pause may have waited during it`() {
+        repeat(4) { advance(ms = 50) }
+        clock += 2_000.milliseconds
+        repeat(4) { advance(ms = 50) }
+        submit()
+        sent.last().second.unreadMs shouldBe 2_200
+    }
+
     /** Guards against a restarted owner that starts tasks beside the runs of its previous process. */
     @Test
     fun `a job that is submitted again to a restarted owner may have run`() {
