Count the unread time of requests that are read some ticks after a pause

Callers may see a task run twice at the same time: the caller of a request that waited in the socket of a suspended instance has left and sent its job again elsewhere.

Cause: the age of a request included a pause only up to the second tick after it. A process that wakes first handles broken connections, and accepts new ones before it reads them. Requests that are read within 0.4 s of the first tick now count as unread since the last tick before the pause.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -83,13 +83,21 @@
     private var tickedAtMs = 0L
     private var previousTickAtMs = 0L
 
+    /** The last tick before the last pause of this process, and the first one after it. */
+    private var pausedAtMs = NEVER_MS
+    private var resumedAtMs = NEVER_MS
+
     private fun nowMs() = elapsed.nowMs()
 
     /**
      * How long a request that is read now may have waited, if this process has just been paused. The first tick after a
-     * pause may come before the requests are read that have arrived during it.
+     * pause may come before the requests are read that have arrived during it, and some more ticks before those on
+     * connections that have to be accepted first.
      */
-    private fun unreadMs(nowMs: Long): Long = (nowMs - previousTickAtMs).takeIf { it > PAUSE_MS } ?: 0
+    private fun unreadMs(nowMs: Long): Long {
+        val sinceMs = if (nowMs - resumedAtMs < BACKLOG_MS) pausedAtMs else previousTickAtMs
+        return (nowMs - sinceMs).takeIf { it > PAUSE_MS } ?: 0
+    }
 
     /** Runs [job] and calls [onResult] once. Returns the handle for [cancel]. */
     public fun submit(
@@ -288,6 +296,10 @@
     /** Resubmits jobs whose owner is lost and abandons jobs whose caller's deadline has passed. */
     public fun tick() {
         val nowMs = nowMs()
+        if (nowMs - tickedAtMs > PAUSE_MS) {
+            pausedAtMs = tickedAtMs
+            resumedAtMs = nowMs
+        }
         previousTickAtMs = tickedAtMs
         tickedAtMs = nowMs
         for (request in pending.values.toList()) {
@@ -333,6 +345,9 @@
         /** Several ticks; a loaded instance is rarely later. */
         const val PAUSE_MS = 300L
 
+        /** In the fault soak, requests were read 0.2 s after a pause of 2.9 s. */
+        const val BACKLOG_MS = 400L
+
         /** Several heartbeat intervals. */
         const val HANDOVER_WAIT_MS = 300L
 
