Wait for the other owners after a pause

Callers may see a task run twice at the same time: an owner that was suspended or paused, and has kept its failure domain, takes the second submission of a job that another owner runs for the first one.

Cause: only a new owner waited to be told of the jobs that are open elsewhere. The class: the silence of others says nothing about them if this process did not listen.

OpenJobsTest: the new test fails if onTick sets no wait. The simulated instances call it, too; all tests of dispatch pass. Not covered: an announcement from before the pause that is only read after it ends the wait.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -152,6 +152,7 @@
 
     private fun ownershipTick() {
         logSuspension()
+        ownerReports.onTick()
         ownership.isPerDomain = network.members().size >= settings.perDomainOwnersFrom
         val peers = network.views()
         // Until the size of the deployment is known, an instance may claim failure domains that it has to release
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -21,6 +21,7 @@
 
     private val openElsewhere = HashMap<JobId, OpenElsewhere>()
     private var announcedAtMs = NEVER_MS
+    private var tickedAtMs = NEVER_MS
 
     /** The other owners that have not yet told which jobs are open there, with the end of the wait for each. */
     private val awaitedUntilMs = HashMap<String, Long>()
@@ -42,7 +43,19 @@
         if (!wasReleased) resubmissionsUntilMs = nowMs + settings.resubmissionMs
     }
 
+    /**
+     * Called every few milliseconds while the process runs. After a pause, this instance waits for the other owners as
+     * a new one does: what they have told it meanwhile may be lost, and their silence says nothing of their runs.
+     */
+    fun onTick(nowMs: Long, otherOwners: () -> Set<String>) {
+        if (isPaused(nowMs)) otherOwners().associateWithTo(awaitedUntilMs) { nowMs + MAX_LEASE_MS + STOP_MARGIN_MS }
+        tickedAtMs = nowMs
+    }
+
+    private fun isPaused(nowMs: Long) = tickedAtMs != NEVER_MS && nowMs - tickedAtMs > PAUSE_MS
+
     private fun isReady(nowMs: Long): Boolean {
+        if (isPaused(nowMs)) return false
         awaitedUntilMs.values.removeIf { nowMs >= it }
         return awaitedUntilMs.isEmpty() && nowMs >= resubmissionsUntilMs
     }
@@ -150,6 +163,9 @@
     }
 
     private companion object {
+        /** After a longer silence, the other owners tell this instance of their jobs as soon as they hear it again. */
+        const val PAUSE_MS = 400L
+
         /** A few ticks, so that jobs which become due one after the other are announced together. */
         const val MIN_INTERVAL_MS = 50L
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -26,6 +26,9 @@
         }
     }
 
+    /** Called every few milliseconds while the process runs. */
+    fun onTick() = dispatcher.openJobSystem.onTick(dispatcher.nowMs(), selection::otherPossibleOwners)
+
     fun onOwnerHeard(owner: String) {
         if (owner !in informedOwners) informNewOwners()
     }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
@@ -98,6 +98,26 @@
         sim.starts shouldBe 1
     }
 
+    /** Guards against an owner that was paused, keeps its failure domain, and has not heard of the jobs meanwhile. */
+    @Test
+    fun `an owner that was paused starts no job before the other owners have told it of theirs`() {
+        val openJobs = second.dispatcher.openJobSystem
+        fun tick() = openJobs.onTick(second.dispatcher.nowMs()) { setOf("o0") }
+        tick()
+        sim.run(sim.nowMs + 2_000)
+        submit(second, "i2")
+        sim.run(sim.nowMs + 50)
+        sim.starts shouldBe 0
+        repeat(5) {
+            tick()
+            sim.run(sim.nowMs + 50)
+        }
+        sim.starts shouldBe 0
+        openJobs.onAnnounced("o0", emptyList(), emptyList(), hasPrecedence = true)
+        sim.run(sim.nowMs + 50)
+        sim.starts shouldBe 1
+    }
+
     /** Guards against a new owner that waits for ever for one that has died. */
     @Test
     fun `a new owner does not wait for another one beyond the end of its runs`() {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -156,6 +156,7 @@
     }
 
     override fun ownershipTick() {
+        dispatcher.openJobSystem.onTick(dispatcher.nowMs(), selection::otherPossibleOwners)
         val replaced = tokens.filter { (domain, token) -> isReplaced(domain, token) }.keys
         if (replaced.isNotEmpty()) lose(replaced, isPlanned = false)
         for (peer in peerNames()) {
