--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -42,8 +42,12 @@
 
     /** Time on the backend server's clock at which the run was confirmed. */
     var confirmedAtMs = Long.MIN_VALUE
+
+    /** Progress in the last report; -1 before the first one. */
     var donePercent = -1
-    var progressAtMs = 0L
+
+    /** Time on the backend server's clock of the first report with [donePercent]. */
+    var progressClockMs = 0L
     var stopRequestedAtMs = NEVER_MS
 
     /** Time of the first report that lists neither the run nor its end. */
@@ -171,7 +175,7 @@
 }
 
 /** Row of the backend server table. */
-internal class BackendRow(var info: BackendInfo, val lease: BackendLease) {
+internal class BackendRow(var info: BackendInfo, val lease: BackendLease, val clock: BackendClock) {
     val tasks = LinkedHashMap<TaskKey, TaskRow>()
 
     /** Runs that belong to no job here. */
@@ -197,8 +201,6 @@
     /** Ended processes. The list of backend servers may still name one after a poll has reported its successor. */
     val formerIncarnations = HashSet<Long>()
 
-    /** Backend server's clock minus the dispatcher's clock at the last response; null before the first response. */
-    var clockOffsetMs: Long? = null
     var lastReportAtMs = NEVER_MS
     var pollSentAtMs = 0L
     var pollInFlight = false
@@ -242,6 +244,9 @@
     /** Estimated speed; run times are inversely proportional to it. */
     var speed = 1.0
     var failuresInRow = 0
+
+    /** Time at which a start without a response was last counted as a failure. */
+    var unansweredAtMs = NEVER_MS
     var ejectedUntilMs = NEVER_MS
     var ejections = 0
 
@@ -287,7 +292,7 @@
         task.backend = null
     }
 
-    fun backendClockMs(nowMs: Long): Long? = clockOffsetMs?.let { it + nowMs }
+    fun backendClockMs(nowMs: Long): Long? = clock.estimateMs(nowMs)
 }
 
 /** A run that may be lost with its backend server. Unless [isConfirmed], it may not have begun or have ended before. */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -141,9 +141,10 @@
         dispatcher.configure(next)
     }
 
-    private fun logSuspension() {
+    private fun noticeSuspension() {
         val suspendedMs = suspensions.newlySuspendedMs()
         if (suspendedMs == 0L) return
+        entry.onSuspended(suspendedMs)
         log.event(
             "instance", "suspended", "forMs", suspendedMs,
             "openRequests", entry.openRequests, "openJobs", dispatcher.openJobs, "owned", dispatcher.ownedDomains,
@@ -151,7 +152,7 @@
     }
 
     private fun ownershipTick() {
-        logSuspension()
+        noticeSuspension()
         ownership.isPerDomain = network.members().size >= settings.perDomainOwnersFrom
         val peers = network.views()
         // Until the size of the deployment is known, an instance may claim failure domains that it has to release
@@ -324,7 +325,7 @@
 
         override fun runsRemain(tasks: List<TaskKey>) = ownerReports.runsRemain(tasks)
 
-        override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) = ownerReports.jobsOpen(running, waiting)
+        override fun jobsOpen(jobs: OpenJobs) = ownerReports.jobsOpen(jobs)
 
         override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
             sendMoved(origin, job, progress, owner)
@@ -444,7 +445,11 @@
             } else if (withoutStore.add(peer.instance)) {
                 network.send(peer.instance, PeerMessage.Members(network.members() + self))
             }
-            if (heartbeat.owned.isNotEmpty()) ownerReports.onOwnerHeard(peer.instance)
+            if (heartbeat.owned.isNotEmpty()) {
+                ownerReports.onOwnerHeard(peer.instance)
+            } else {
+                ownerReports.forget(peer.instance)
+            }
             val current = configuration ?: return
             if (heartbeat.configurationVersion < current.version) {
                 network.send(peer.instance, PeerMessage.Configuration(current))
@@ -453,6 +458,7 @@
 
         override fun onConnected(peer: PeerMember) {
             withoutStore -= peer.instance
+            ownerReports.forget(peer.instance)
             if (dispatcher.ownedDomains.isNotEmpty()) {
                 network.send(peer.instance, PeerMessage.Backends(listing.backends, listing.version))
             }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -23,7 +23,10 @@
 public interface PeerListener {
     public fun onMessage(peer: PeerMember, message: PeerMessage)
 
-    /** A connection to [peer] was opened; messages sent on earlier connections may have been lost. */
+    /**
+     * A connection to [peer] was opened, or one of several was closed; messages sent on others than the present one may
+     * have been lost.
+     */
     public fun onConnected(peer: PeerMember)
 
     /** The current content of a heartbeat. */
@@ -72,10 +75,14 @@
         /** Time of the last heartbeat to the peer, and the interval that it announced. */
         var heartbeatSentAtMs = NEVER_MS
         var announcedIntervalMs = 0L
+
+        /** Time of the first message to the peer that obliges it to send short intervals, until it announces one. */
+        var shortIntervalDueSinceMs = NEVER_MS
     }
 
     private val elapsed = ElapsedClock(clock)
     private val peerClock = PeerClock(clock)
+    private val listening = ListeningTime()
     private val peers = HashMap<String, Peer>()
     private var server: Channel? = null
     private var sentHeartbeat = PeerMessage.Heartbeat()
@@ -139,9 +146,15 @@
     public fun heardAtMsOrNull(instance: String): Long? =
         peers[instance]?.takeIf { it.heartbeatReceivedAtMs != NEVER_MS }?.heartbeat?.sentAtMs
 
-    /** Time since the last heartbeat of [instance]; very long if there is none. */
-    internal fun heartbeatAgeMs(instance: String): Long =
-        nowMs() - (peers[instance]?.heartbeatReceivedAtMs ?: NEVER_MS)
+    /**
+     * For how long [instance] has sent no heartbeat while this instance could receive one. That it was not heard before
+     * does not tell that it has stopped.
+     */
+    internal fun silenceMs(instance: String): Long {
+        val nowMs = nowMs()
+        val sinceHeartbeatMs = nowMs - (peers[instance]?.heartbeatReceivedAtMs ?: NEVER_MS)
+        return minOf(sinceHeartbeatMs, listening.elapsedMs(nowMs))
+    }
 
     /** Time since this instance has sent the heartbeat with [sentAtMs]; null if another process has sent it. */
     public fun ageMsOrNull(sentAtMs: Long): Long? = peerClock.ageMsOrNull(sentAtMs)
@@ -159,6 +172,8 @@
         if (peer.announcedIntervalMs > settings.followerHeartbeatIntervalMs) {
             sendHeartbeat(peer, settings.followerHeartbeatIntervalMs, EncodedHeartbeats(sentHeartbeat))
         }
+        val isLong = peer.heartbeat.intervalMs > settings.followerHeartbeatIntervalMs
+        if (isLong && peer.shortIntervalDueSinceMs == NEVER_MS) peer.shortIntervalDueSinceMs = nowMs()
         channel.writeAndFlush(encode(message), channel.voidPromise())
     }
 
@@ -254,11 +269,15 @@
     /** Sends heartbeats and opens connections as due. Called every [PeerNetworkSettings.heartbeatIntervalMs]. */
     public fun tick() {
         val nowMs = nowMs()
+        listening.onTick(nowMs)
         sendDueHeartbeats(nowMs)
         val monitored = monitored()
+        val owners by lazy { listener.openRequests().keys }
         for (peer in peers.values.toList()) {
             updateState(peer, nowMs)
             if (peer.member.instance == self().instance) continue
+            val isDue = peer.shortIntervalDueSinceMs != NEVER_MS
+            if (isDue && peer.member.instance !in owners) peer.shortIntervalDueSinceMs = NEVER_MS
             if (peer in monitored && needsDial(peer, nowMs)) dial(peer, nowMs)
         }
     }
@@ -281,12 +300,21 @@
     private fun needsDial(peer: Peer, nowMs: Long): Boolean {
         if (peer.dialing && nowMs - peer.dialedAtMs < settings.connectTimeoutMs) return false
         val redialAfterMs = settings.redialAfterMs(peer.heartbeat.intervalMs)
-        if (nowMs - peer.receivedAtMs <= redialAfterMs && peer.channel != null) return false
+        val isHeard = nowMs - peer.receivedAtMs <= redialAfterMs
+        if (isHeard && !isSilentTowards(peer, nowMs) && peer.channel != null) return false
         val isJunior = self().number > peer.member.number
         val pauseMs = if (isJunior || peer.channel != null) settings.redialPauseMs else settings.redialPauseMs * 2
         return nowMs - peer.dialedAtMs >= pauseMs
     }
 
+    /**
+     * Whether a request has probably not reached [peer], although this instance hears it. An owner sends short
+     * intervals once it has a request of this instance. It would itself notice only after the long interval that it
+     * hears nothing.
+     */
+    private fun isSilentTowards(peer: Peer, nowMs: Long): Boolean = peer.shortIntervalDueSinceMs != NEVER_MS &&
+        nowMs - peer.shortIntervalDueSinceMs > settings.redialAfterMs
+
     private fun monitored(): Set<Peer> {
         val own = self()
         val others = peers.values.filter { it.member.instance != own.instance }
@@ -376,6 +404,7 @@
             val sinceLastMs = nowMs - from.heartbeatReceivedAtMs
             from.heartbeat = heartbeat
             from.heartbeatReceivedAtMs = nowMs
+            if (heartbeat.intervalMs <= settings.followerHeartbeatIntervalMs) from.shortIntervalDueSinceMs = NEVER_MS
             updateState(from, nowMs)
             // An owner whose heartbeats come rarely starts no task before the request is renewed with a recent one.
             val isWaiting = sinceLastMs > RENEWAL_GAP_MS && from.member.instance in listener.openRequests()
@@ -403,9 +432,14 @@
         override fun channelInactive(context: ChannelHandlerContext) {
             val remote = peer ?: return
             remote.channels -= context.channel()
-            if (remote.channel !== context.channel()) return
-            remote.channel = remote.channels.lastOrNull()
-            if (remote.channel != null) return
+            // Several connections are often closed together, and the end of each is reported by itself.
+            val remaining = remote.channels.lastOrNull { it.isActive }
+            if (remaining != null) {
+                remote.channel = remaining
+                return listener.onConnected(remote.member)
+            }
+            if (remote.channels.isNotEmpty()) return
+            remote.channel = null
             remote.dialedAtMs = NEVER_MS
             log.event("peer", "disconnected", "peer", remote.member.instance, "number", remote.member.number)
             if (remote in monitored()) dial(remote, nowMs())
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -10,11 +10,13 @@
     val random: Random,
     val ownerNames: List<String>,
     val entryNames: List<String>,
+    goSilent: Boolean = false,
+    private val newRate: () -> Double = { 1.0 },
 ) {
-    val links = SimulatedLinks(sim, random)
+    val links = SimulatedLinks(sim, random, goSilent)
     private var nextNumber = 1L
 
-    fun newClocks() = SimulatedClocks(time)
+    fun newClocks() = SimulatedClocks(time, newRate())
 
     fun newMember(name: String, failureDomain: String) = PeerMember(name, failureDomain, name, 1, nextNumber++)
 }
@@ -124,8 +126,8 @@
         tokens[failureDomain] = token
         dispatcher.acquire(failureDomain, token)
         if (isFirst) {
-            val heardMsAgo = selection.otherPossibleOwners().associateWith(::heartbeatAgeMs)
-            dispatcher.openJobSystem.onAcquired(heardMsAgo, wasReleased = false)
+            val silenceMs = selection.otherPossibleOwners().associateWith(::silenceMs)
+            dispatcher.openJobSystem.onAcquired(silenceMs, wasReleased = false)
         }
         updateBackends()
         sendHeartbeatNow()
@@ -200,6 +202,7 @@
                 message.renewal?.let { renewal ->
                     peerClock.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer, renewal.requests, it) }
                 }
+                if (message.owned.isEmpty()) informedOwners -= peer
                 if (tokens.isNotEmpty() && message.owned.isNotEmpty() && peer !in informedOwners) informNewOwners()
             }
 
@@ -211,7 +214,7 @@
 
             is PeerMessage.ActiveRuns -> {
                 dispatcher.learnActiveRuns(message.tasks)
-                dispatcher.openJobSystem.onAnnounced(peer, message.running, message.waiting, peer < name)
+                dispatcher.openJobSystem.onAnnounced(peer, message.jobs, peer < name)
             }
 
             else -> Unit
@@ -247,7 +250,9 @@
         return ageMs ?: UNKNOWN_AGE_MS
     }
 
-    override fun onConnected(peer: String) = Unit
+    override fun onConnected(peer: String) {
+        informedOwners -= peer
+    }
 
     override fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult) {
         results.record(origin, job, result)
@@ -256,11 +261,11 @@
 
     override fun runsRemain(tasks: List<TaskKey>) = sendActiveRuns(otherOwners(), tasks)
 
-    override fun jobsOpen(running: List<JobId>, waiting: List<JobId>) {
+    override fun jobsOpen(jobs: OpenJobs) {
         val others = otherOwners()
-        for (job in running) sim.trace("$name tells ${others.sorted()} that job $job runs")
-        for (job in waiting) sim.trace("$name tells ${others.sorted()} that job $job waits")
-        others.forEach { send(it, PeerMessage.ActiveRuns(tasks = emptyList(), running, waiting)) }
+        for (job in jobs.running) sim.trace("$name tells ${others.sorted()} that job $job runs")
+        for (job in jobs.waiting) sim.trace("$name tells ${others.sorted()} that job $job waits")
+        others.forEach { send(it, PeerMessage.ActiveRuns(jobs)) }
     }
 
     override fun jobMoved(origin: JobOrigin, job: JobId, progress: JobProgress, owner: String) =
