Read the state of a silent peer before it dials again

Trace: the owner finds the follower silent after 800 ms and resets its connection; the follower dials at once and is alive again before the test reads the state, which it did outside of the event loop. It now reads the state in the same task as the tick, which is as strict.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -226,11 +226,13 @@
         val probes = owner.received.count { it.second == PROBE }
         onLoop { follower.network.send("a", PROBE) }
         await { owner.received.count { it.second == PROBE } > probes }
-        onLoop {
+        // The follower, whose connection is reset, dials again at once.
+        val state = onLoop {
             clock += SILENT_FOLLOWER_MS.milliseconds
             owner.network.tick()
+            owner.stateOf(follower)
         }
-        owner.stateOf(follower) shouldBe PeerState.SILENT
+        state shouldBe PeerState.SILENT
     }
 
     /** Guards against partners that count as silent because the interval of the heartbeats has become longer. */
