--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -33,14 +33,15 @@
     private var resubmissionsUntilMs = NEVER_MS
 
     /**
-     * This instance has become an owner. It starts no new job before it knows of the jobs that are open elsewhere.
+     * This instance has become an owner, or was paused as one. It starts no task before it knows of the jobs that are
+     * open elsewhere.
      *
      * @param silenceMs the other owners, with the time for which each has sent nothing while this instance listened.
      *   Runs of one that has stopped end with their leases.
      * @param wasReleased whether the previous owner has told the instances that wait for its jobs.
      * @param unownedSilenceMs failure domains without a reachable owner, with the time for which none was heard.
      */
-    fun onAcquired(
+    fun awaitOwners(
         silenceMs: Map<String, Long>,
         wasReleased: Boolean,
         unownedSilenceMs: Map<String, Long> = emptyMap(),
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -35,7 +35,7 @@
 
     private fun awaitOwners(wasReleased: Boolean) {
         val silenceMs = selection.otherOwners().associateWith(network::silenceMs)
-        dispatcher.openJobSystem.onAcquired(silenceMs, wasReleased, domainOwners.unownedSilenceMs())
+        dispatcher.openJobSystem.awaitOwners(silenceMs, wasReleased, domainOwners.unownedSilenceMs())
     }
 
     /** A heartbeat of [owner] has arrived, which owns [owned]. */
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/NewOwnerWaitTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/NewOwnerWaitTest.kt
@@ -47,7 +47,7 @@
         sim.run(sim.nowMs + 700)
         submit(first, sim.job("k", tasks = 1, estimateMs = 300), "i1")
         sim.run(sim.nowMs + 560)
-        second.dispatcher.openJobSystem.onAcquired(mapOf("o0" to 0L), wasReleased = true)
+        second.dispatcher.openJobSystem.awaitOwners(mapOf("o0" to 0L), wasReleased = true)
         first.dispatcher.openJobSystem.announceNow()
         sim.losesOwnerMessages = false
         sim.run(sim.nowMs + 100)
@@ -59,7 +59,7 @@
     /** Guards against the same by a message on runs that remain, which names no open job. */
     @Test
     fun `a message on remaining runs does not end the wait of a new owner`() {
-        second.dispatcher.openJobSystem.onAcquired(mapOf("o0" to 0L), wasReleased = true)
+        second.dispatcher.openJobSystem.awaitOwners(mapOf("o0" to 0L), wasReleased = true)
         val remaining = PeerMessage.ActiveRuns(listOf(TaskKey(JobId("other"), 0, 0)))
         reportsOf(second).onReceived("o0", remaining)
         submit(second, request, "i2")
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OpenJobsTest.kt
@@ -89,7 +89,7 @@
     /** Guards against an owner that has just taken over and knows of no open job. */
     @Test
     fun `a new owner starts no job before the other owners have told it of theirs`() {
-        second.dispatcher.openJobSystem.onAcquired(mapOf("o0" to 0L), wasReleased = true)
+        second.dispatcher.openJobSystem.awaitOwners(mapOf("o0" to 0L), wasReleased = true)
         submit(second, "i2")
         sim.run(sim.nowMs + 300)
         sim.starts shouldBe 0
@@ -108,7 +108,7 @@
         val openJobs = second.dispatcher.openJobSystem
         fun tick() {
             val wasPaused = openJobs.onTick(second.dispatcher.nowMs())
-            if (wasPaused) openJobs.onAcquired(mapOf("o0" to 0L), wasReleased = true)
+            if (wasPaused) openJobs.awaitOwners(mapOf("o0" to 0L), wasReleased = true)
         }
         tick()
         sim.run(sim.nowMs + 2_000)
@@ -128,7 +128,7 @@
     /** Guards against a new owner that waits for ever for one that has died. */
     @Test
     fun `a new owner does not wait for another one beyond the end of its runs`() {
-        second.dispatcher.openJobSystem.onAcquired(mapOf("o0" to 800L), wasReleased = true)
+        second.dispatcher.openJobSystem.awaitOwners(mapOf("o0" to 800L), wasReleased = true)
         submit(second, "i2")
         sim.run(sim.nowMs + 250)
         sim.starts shouldBe 0
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -140,7 +140,7 @@
 
     private fun awaitOwners(wasReleased: Boolean) {
         val silenceMs = selection.otherOwners().associateWith(::silenceMs)
-        dispatcher.openJobSystem.onAcquired(silenceMs, wasReleased, domainOwners.unownedSilenceMs())
+        dispatcher.openJobSystem.awaitOwners(silenceMs, wasReleased, domainOwners.unownedSilenceMs())
     }
 
     fun updateBackends() = dispatcher.updateBackends(sim.backends.values.map { it.info })
