Let an owner listen after a pause before it starts tasks

Callers may see a task run twice at the same time: an owner that was suspended wakes and starts a job that an owner runs which has claimed a failure domain meanwhile. The first owner has not heard of it yet, so it waits for nobody (soak with suspensions: 2 tasks; trace in the postmortem).

Cause: after a pause, an owner waited for the owners that it knew from before. The other owner's list would not have named the job either, since its second submission was too young there to be announced. The class is the one of the whole incident: what was known before a pause is unknown after it.

Then it asks all owners for their jobs, and they name all that are open, also young ones. A longer time for objections in general was ruled out, since it delays every old job.

NewOwnerWaitTest: the first of the two tests fails on (the job starts) and passes now; the second needs the new method. The scenario of the soak can't be repeated exactly.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -29,7 +29,7 @@
     /** Failure domains of which no owner has told, with the end of the runs that a lost one may have started. */
     private val awaitedDomainsUntilMs = HashMap<String, Long>()
 
-    /** End of the time in which instances submit the jobs of a lost owner. */
+    /** End of the time in which instances submit the jobs of a lost owner, or this one listens after a pause. */
     private var resubmissionsUntilMs = NEVER_MS
 
     /**
@@ -69,6 +69,11 @@
         }
     }
 
+    /** Delays all starts, since this instance does not know yet for which owners it has to wait. */
+    fun startNothingBefore(atMs: Long) {
+        resubmissionsUntilMs = maxOf(resubmissionsUntilMs, atMs)
+    }
+
     /**
      * Called every few milliseconds while the process runs. Returns whether it was paused before. It then has to wait
      * for the other owners as a new one does: what they have told it meanwhile may be lost.
@@ -119,6 +124,12 @@
         announce(tables.jobs.values.filter { nowMs - it.earliestArrivalMs >= settings.announceAfterMs }, nowMs, true)
     }
 
+    /**
+     * Another owner was away, and waits to be told of the jobs here. It may have an earlier submission of a job that
+     * has come in here only now.
+     */
+    fun announceAll() = announce(tables.jobs.values.toList(), clock.nowMs(), areAll = true)
+
     /** Announces the jobs that are due. */
     fun run(nowMs: Long) {
         if (nowMs - announcedAtMs < MIN_INTERVAL_MS) return
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerReports.kt
@@ -16,6 +16,9 @@
     private var informedOwners: Set<String> = emptySet()
     private var ownerSinceMs = NEVER_MS
 
+    /** End of the time for which this instance listens after a pause; never if it was not paused since. */
+    private var listensUntilMs = NEVER_MS
+
     /** This instance has acquired a failure domain, and may not have owned one before. */
     fun onAcquired(wasOwner: Boolean, wasReleased: Boolean) {
         if (!wasOwner) ownerSinceMs = dispatcher.nowMs()
@@ -24,10 +27,19 @@
         if (isNewOwner && network.views().isNotEmpty()) awaitOwners(wasReleased)
     }
 
-    /** Called every few milliseconds while the process runs. */
+    /**
+     * Called every few milliseconds while the process runs. After a pause, others may own failure domains of which this
+     * instance has not heard yet. It listens first, then asks all owners for their jobs.
+     */
     fun onTick() {
-        val wasPaused = dispatcher.openJobSystem.onTick(dispatcher.nowMs())
-        if (!wasPaused || dispatcher.ownedDomains.isEmpty()) return
+        val nowMs = dispatcher.nowMs()
+        if (dispatcher.openJobSystem.onTick(nowMs)) {
+            listensUntilMs = nowMs + LISTEN_MS
+            dispatcher.openJobSystem.startNothingBefore(listensUntilMs)
+        }
+        if (listensUntilMs == NEVER_MS || nowMs < listensUntilMs) return
+        listensUntilMs = NEVER_MS
+        if (dispatcher.ownedDomains.isEmpty()) return
         awaitOwners(wasReleased = true)
         val message = PeerMessage.ActiveRuns(tasks = emptyList(), wantsJobs = true)
         selection.otherOwners().forEach { network.send(it, message) }
@@ -78,10 +90,13 @@
         val hasPrecedence = owner < instance
         val owned = network.heartbeatOf(owner)?.owned?.keys.orEmpty()
         dispatcher.openJobSystem.onAnnounced(owner, message.jobs, hasPrecedence, owned)
-        if (message.wantsJobs && dispatcher.ownedDomains.isNotEmpty()) dispatcher.openJobSystem.announceNow()
+        if (message.wantsJobs && dispatcher.ownedDomains.isNotEmpty()) dispatcher.openJobSystem.announceAll()
     }
 
     private companion object {
+        /** Two heartbeat intervals of an owner, with a reserve for new connections. */
+        const val LISTEN_MS = 250L
+
         /** The failure domains of a lost owner are acquired within this time. */
         const val CLAIM_MS = 50L
     }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/NewOwnerWaitTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/NewOwnerWaitTest.kt
@@ -70,24 +70,47 @@
     /** Guards against an owner that was paused, keeps its failure domain, and starts a job that another one runs. */
     @Test
     fun `an owner that was paused waits to be told of all jobs of the others`() {
-        val peer = PeerMember("o0", "d1", "127.0.0.1", 1, 2)
-        val reports = reportsOf(second, PeerView(peer, PeerState.ALIVE, owned = mapOf("d1" to 1L), leaving = false))
+        val peers = arrayListOf(peer(owned = emptyMap()))
+        val reports = reportsOf(second, peers, owned = setOf("d1", "d2"))
         reports.onTick()
         sim.run(sim.nowMs + 500)
         reports.onTick()
         submit(second, request, "i2")
-        sim.run(sim.nowMs + 300)
+        sim.run(sim.nowMs + 200)
+        // The heartbeat that tells of the other owner comes some time after the pause.
+        peers[0] = peer(owned = mapOf("d1" to 1L))
+        repeat(6) {
+            reports.onTick()
+            sim.run(sim.nowMs + 50)
+        }
         sim.starts shouldBe 0
         reports.onReceived("o0", PeerMessage.ActiveRuns(OpenJobs(emptyList(), emptyList(), areAll = true)))
         sim.run(sim.nowMs + 100)
         sim.starts shouldBe 1
     }
 
-    private fun reportsOf(owner: SimulatedBackends.Owner, vararg peers: PeerView): OwnerReports {
+    /** Guards against the same if the other submission is too young to be announced without being asked for. */
+    @Test
+    fun `an owner that is asked for its jobs names also those that have just come in`() {
+        submit(first, request, "i1")
+        sim.run(sim.nowMs + 50)
+        first.dispatcher.openJobSystem.announceAll()
+        sim.run(sim.nowMs + 50)
+        second.dispatcher.openJobSystem.otherOwnerOrNull(request.id) shouldBe "o0"
+    }
+
+    private fun peer(owned: Map<String, Long>) =
+        PeerView(PeerMember("o0", "d1", "127.0.0.1", 1, 2), PeerState.ALIVE, owned, leaving = false)
+
+    private fun reportsOf(
+        owner: SimulatedBackends.Owner,
+        peers: List<PeerView> = emptyList(),
+        owned: Set<String> = setOf("d2"),
+    ): OwnerReports {
         val self = PeerMember("o1", "d2", "127.0.0.1", 1, 1)
         val selection = OwnerSelection(
-            own = { PeerView(self, PeerState.ALIVE, owned = mapOf("d2" to 1L), leaving = false) },
-            peers = { peers.toList() },
+            own = { PeerView(self, PeerState.ALIVE, owned.associateWith { 1L }, leaving = false) },
+            peers = { peers },
             isPerDomain = { true },
             heartbeatOf = { null },
             ownLoadPercent = { 0 },
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -105,6 +105,7 @@
     private val released = HashMap<String, Long>()
     private val tokens = HashMap<String, Long>()
     private var resumedAtMs = NEVER_MS
+    private var listensUntilMs = NEVER_MS
 
     /** Failure domains that this process takes to be its own, with their tokens. */
     val owned: Map<String, Long> get() = tokens
@@ -138,6 +139,20 @@
         dispatcher.tick()
     }
 
+    /** As [OwnerReports.onTick]. */
+    private fun listenAfterPause() {
+        val nowMs = dispatcher.nowMs()
+        if (dispatcher.openJobSystem.onTick(nowMs)) {
+            listensUntilMs = nowMs + LISTEN_MS
+            dispatcher.openJobSystem.startNothingBefore(listensUntilMs)
+        }
+        if (listensUntilMs == NEVER_MS || nowMs < listensUntilMs) return
+        listensUntilMs = NEVER_MS
+        if (tokens.isEmpty()) return
+        awaitOwners(wasReleased = true)
+        otherOwners().forEach { send(it, PeerMessage.ActiveRuns(tasks = emptyList(), wantsJobs = true)) }
+    }
+
     private fun awaitOwners(wasReleased: Boolean) {
         val silenceMs = selection.otherOwners().associateWith(::silenceMs)
         dispatcher.openJobSystem.awaitOwners(silenceMs, wasReleased, domainOwners.unownedSilenceMs())
@@ -167,10 +182,7 @@
     }
 
     override fun ownershipTick() {
-        if (dispatcher.openJobSystem.onTick(dispatcher.nowMs()) && tokens.isNotEmpty()) {
-            awaitOwners(wasReleased = true)
-            otherOwners().forEach { send(it, PeerMessage.ActiveRuns(tasks = emptyList(), wantsJobs = true)) }
-        }
+        listenAfterPause()
         val replaced = tokens.filter { (domain, token) -> isReplaced(domain, token) }.keys
         if (replaced.isNotEmpty()) lose(replaced, isPlanned = false)
         for (peer in peerNames()) {
@@ -230,7 +242,7 @@
                 dispatcher.learnActiveRuns(message.tasks)
                 val owned = heartbeatOf(peer)?.owned?.keys.orEmpty()
                 dispatcher.openJobSystem.onAnnounced(peer, message.jobs, peer < name, owned)
-                if (message.wantsJobs && tokens.isNotEmpty()) dispatcher.openJobSystem.announceNow()
+                if (message.wantsJobs && tokens.isNotEmpty()) dispatcher.openJobSystem.announceAll()
             }
 
             else -> Unit
@@ -313,6 +325,7 @@
 
         /** An owner that goes on after a pause learns from the store that it was replaced with its next renewal. */
         const val RECORD_READ_MS = 150L
+        const val LISTEN_MS = 250L
         const val RECENT_MS = 300L
         const val UNKNOWN_AGE_MS = 60_000L
     }
