Hold the first write of a test until all claims have arrived

Traced by reading: claims share a transaction if they arrive while another one is in flight, and at such a load the store answers between two claims of the test's thread. The store of the test now holds its first write until all 200 claims are queued, so the test checks what its name says, with the same bound.

--- a/server/src/test/kotlin/medlarroute/server/ClaimStoreTest.kt
+++ b/server/src/test/kotlin/medlarroute/server/ClaimStoreTest.kt
@@ -8,6 +8,7 @@
 import medlarroute.core.SubmissionId
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -48,7 +49,11 @@
     @Test
     fun `claims that arrive together share transactions`() {
         val store = store()
-        List(200) { store.claim("k$it", it + 1) }.forEach { it.join() shouldBe ClaimResult.Claimed }
+        // The first write ends when all claims have arrived, however long this thread takes for them.
+        platform.writesResume = CompletableFuture()
+        val claims = List(200) { store.claim("k$it", it + 1) }
+        platform.writesResume.complete(Unit)
+        claims.forEach { it.join() shouldBe ClaimResult.Claimed }
         platform.transactions.get() shouldBeLessThan 20
     }
 
--- a/server/src/test/kotlin/medlarroute/server/FakePlatform.kt
+++ b/server/src/test/kotlin/medlarroute/server/FakePlatform.kt
@@ -35,6 +35,9 @@
     /** Requests are neither processed nor answered. */
     @Volatile var isSilent = false
 
+    /** Writes are processed once this is complete. */
+    @Volatile var writesResume: CompletableFuture<Unit> = CompletableFuture.completedFuture(Unit)
+
     /** Number of next writes that take effect and get no reply. */
     val repliesToLose = AtomicInteger()
 
@@ -64,7 +67,15 @@
 
     private fun aggregated(handle: (ServiceRequestContext, AggregatedHttpRequest) -> HttpResponse) =
         HttpService { context, request ->
-            HttpResponse.of(request.aggregate().thenApply { withFaults(context, it, handle) })
+            val isRead = request.method().name == "GET"
+            val ready = if (isRead) {
+                request.aggregate()
+            } else {
+                request.aggregate().thenCombine(writesResume) { it, _ ->
+                    it
+                }
+            }
+            HttpResponse.of(ready.thenApply { withFaults(context, it, handle) })
         }
 
     private fun withFaults(
