--- a/server/src/test/kotlin/medlarroute/server/FakePlatform.kt
+++ b/server/src/test/kotlin/medlarroute/server/FakePlatform.kt
@@ -67,14 +67,8 @@
 
     private fun aggregated(handle: (ServiceRequestContext, AggregatedHttpRequest) -> HttpResponse) =
         HttpService { context, request ->
-            val isRead = request.method().name == "GET"
-            val ready = if (isRead) {
-                request.aggregate()
-            } else {
-                request.aggregate().thenCombine(writesResume) { it, _ ->
-                    it
-                }
-            }
+            val gate = if (request.method().name == "GET") READ_GATE else writesResume
+            val ready = gate.thenCombine(request.aggregate()) { _, aggregated -> aggregated }
             HttpResponse.of(ready.thenApply { withFaults(context, it, handle) })
         }
 
@@ -135,4 +129,9 @@
     }
 
     private fun tag(row: Row) = "\"${row.version}\""
+
+    private companion object {
+        /** Reads are never held. */
+        val READ_GATE: CompletableFuture<Unit> = CompletableFuture.completedFuture(Unit)
+    }
 }
