--- a/dispatch/src/test/kotlin/medlarroute/dispatch/InnocentTaskTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/InnocentTaskTest.kt
@@ -21,8 +21,8 @@
     private fun SimulatedBackends.backendOfInnocent() = backends.values.single { innocent in it.running }
 
     /**
-     * Guards against taking a partition that resets and refuses connections for the second crash, as on the day
-     * deadly-owners-lost of braeside-rigging with seed 426152231935: the task had only been beside the first one.
+     * Guards against taking a partition that resets and refuses connections for the second crash, as in the hunt with
+     * seed 426152231935: the task had only been beside the first one.
      */
     @Test
     fun `a task beside a crash and then alone on a backend server that was cut off is not given up`() {
@@ -38,8 +38,7 @@
     }
 
     /**
-     * Guards against the other order, as on the day deadly-owners-lost of caroni-fold: the backend server that was cut
-     * off is not back when another one crashes.
+     * Guards against the other order: the backend server that was cut off is not back when another one crashes.
      */
     @Test
     fun `a task on a backend server that was cut off and then alone at a crash is not given up`() {
@@ -57,8 +56,8 @@
     }
 
     /**
-     * Guards against counting a crash for a run whose lease had ended before, as an owner did that had been suspended
-     * (caroni-fold with seed 9103: three backend servers that had crashed under the next owner).
+     * Guards against counting a crash for a run whose lease had ended before, as an owner did that had been suspended:
+     * the backend servers had crashed under the next owner.
      */
     @Test
     fun `a crash after the lease of a run is not counted by an owner that was suspended`() {
