--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnersLostAtOnceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnersLostAtOnceTest.kt
@@ -77,6 +77,18 @@
         expectNoConcurrentRuns()
     }
 
+    /** Guards against the same where the connection comes up after the end of the wait. */
+    @Test
+    fun `a new owner that connects late starts nothing beside a live owner`() {
+        sim.run(untilMs = 1_500)
+        second.kill(losesPower = false)
+        cutOwners(forMs = 900)
+        val restarted = startOwner("o2")
+        sim.run(sim.nowMs + 450)
+        restarted.acquire("d2", 2)
+        expectNoConcurrentRuns()
+    }
+
     /** Guards against the same where that owner is paused, and its runs go on. */
     @Test
     fun `a new owner starts nothing before the runs of a paused owner have ended`() {
