--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -102,6 +102,21 @@
         }
     }
 
+    /** What a case does. */
+    interface Body {
+        void run() throws Exception;
+    }
+
+    /** Runs a case. If the case itself fails, it could not run. */
+    static void run(Body body) {
+        try {
+            body.run();
+        } catch (Exception e) {
+            e.printStackTrace();
+            exit(2, "the case could not run");
+        }
+    }
+
     /** Ends the script: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
     static void exit(int status, String text) {
         System.out.println(text);
