--- a/review/standins-2/Machine.java
+++ b/review/standins-2/Machine.java
@@ -76,19 +76,13 @@
         return process != null && process.isAlive();
     }
 
-    long uptimeMs() {
-        return process.info().startInstant().map(at -> System.currentTimeMillis() - at.toEpochMilli()).orElse(0L);
-    }
-
-    int exitStatus() {
-        return process.exitValue();
-    }
-
     void signal(String name) throws IOException {
         if (!isUp()) return;
         record.line("machine " + this.name + " gets SIG" + name);
         try {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+            // The kill of the shell is always there, a program of that name may not be.
+            int status = new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+            if (status != 0) throw new IOException("the signal " + name + " could not be sent");
             if (name.equals("KILL")) process.waitFor();
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
