Own all reservations of backend servers in one class

Cause: a task that was on a silent backend server reserved an idle one before it was known whether the lease there allowed the start. If it did not, the next pass reserved another one. Reservations were only released with a job if one of its tasks was a confirmed suspect, and never if the task was completed by a run of an earlier attempt. These backend servers were not used again.

Change: BackendReservations (package medlarroute.dispatch.reservations) has all reservations, one per task. It is told of starts, ends and losses. A task that was on a silent backend server prefers an idle one that allows the start now. Selection for tasks with a proven crash is unchanged.

Ruled out: a bound from the time a reservation was made, which takes a backend server from a task that still waits for long runs there; no reservation without a start, which lets such a task start beside others whenever the leases of the idle ones were just extended.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -31,7 +31,7 @@
     }
 
     /** Whether new tasks may be started on the backend server, which is not reserved for a single one. */
-    fun isUsable(row: BackendRow, nowMs: Long): Boolean = row.reservedFor == null && canStart(row, nowMs)
+    fun isUsable(row: BackendRow, nowMs: Long): Boolean = !tables.reservations.isReserved(row) && canStart(row, nowMs)
 
     /** Whether the backend server can start tasks now. */
     fun canStart(row: BackendRow, nowMs: Long): Boolean =
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
@@ -42,5 +42,6 @@
     fun remove(row: BackendRow, nowMs: Long, isReleased: Boolean = false) {
         tables.backends.remove(row.info.id)
         losses.onUnlisted(row, nowMs, isReleased)
+        tables.reservations.onRemoved(row)
     }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -44,7 +44,7 @@
     fun run(nowMs: Long) {
         if (tables.waiting.isEmpty()) return
         tables.backends.values.filterTo(usable) { health.isUsable(it, nowMs) }
-        if (usable.isNotEmpty() || tables.backends.values.any { it.reservedFor != null }) {
+        if (usable.isNotEmpty() || tables.reservations.size > 0) {
             if (tables.waitingIsDirty) {
                 tables.waiting.sortWith(SERVING_ORDER)
                 tables.waitingIsDirty = false
@@ -171,8 +171,9 @@
     private fun canRun(task: TaskRow, row: BackendRow): Boolean {
         val step = task.step
         // A task that was placed earlier in this pass may have started the probe or have the backend server reserved.
-        val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed && row.reservedFor == null
-        if (!isServing || !row.hasLabel(step.requiredLabel) || !step.demand.fitsInto(row.free)) return false
+        val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed
+        if (!isServing || tables.reservations.isReserved(row)) return false
+        if (!row.hasLabel(step.requiredLabel) || !step.demand.fitsInto(row.free)) return false
         // A run of an earlier attempt at the job uses its capacity until its end is listed.
         return task.key !in row.tasks && row !in task.failedOn && isBelowLimit(task, row)
     }
@@ -207,6 +208,7 @@
             )
         }
         row.reserve(task)
+        tables.reservations.onStarted(task, row)
         tables.runs.recordOrdered(task.key, task.run, row, task.validUntilMs)
         row.lease.grant(settings.startValidityMs, settings, nowMs)
         if (!job.everDispatched) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -153,7 +153,7 @@
             onUnknownRunEnd(row, end, nowMs)
             return
         }
-        row.release(task)
+        tables.release(row, task)
         if (task.job.ended) return onUnknownRunEnd(row, end, nowMs)
         when (end.outcome) {
             RunOutcome.DONE -> onRunDone(row, task, nowMs)
@@ -190,6 +190,7 @@
 
     private fun completeTask(task: TaskRow, nowMs: Long) {
         task.state = TaskState.DONE
+        tables.reservations.onEnded(task)
         val job = task.job
         if (--job.openTasks == 0) return ends.end(job, JobResult.Complete, nowMs)
         if (job.request.steps.size > 1) placement.unblock(job)
@@ -286,7 +287,8 @@
         row.unknownRuns.remove(task.key)
         if (task.state == TaskState.QUEUED) task.job.queuedTasks--
         row.reserve(task)
-        if (task.isSuspect) row.reservedFor = task
+        tables.reservations.onStarted(task, row)
+        if (task.isSuspect) tables.reservations.reserve(row, task, nowMs)
         task.state = TaskState.RUNNING
         task.isAdopted = true
         task.run = found.run
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -1,5 +1,7 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.reservations.BackendReservations
+
 /** State of a task. */
 internal enum class TaskState {
     /** Waits for earlier steps. */
@@ -225,9 +227,6 @@
     /** Whether the backend server has closed the connection of a poll, and has not been reached since. */
     var isClosed = false
 
-    /** Task that runs, or will run, without others on the backend server. */
-    var reservedFor: TaskRow? = null
-
     /** Runs whose leases have expired while the backend server was silent. It may turn out to have crashed. */
     var lapsedRuns: Map<TaskKey, LostRun> = emptyMap()
 
@@ -288,7 +287,6 @@
 
     fun release(task: TaskRow) {
         if (tasks.remove(task.key, task)) free += task.step.demand
-        if (reservedFor === task) reservedFor = null
         task.backend = null
     }
 
@@ -308,7 +306,7 @@
 }
 
 /** All state of the dispatcher. Confined to one thread. */
-internal class DispatchTables(historyRetentionMs: Long) {
+internal class DispatchTables(historyRetentionMs: Long, val reservations: BackendReservations) {
     val histories = TaskHistoryTable(historyRetentionMs)
     val jobs = LinkedHashMap<JobId, JobRow>()
 
@@ -352,6 +350,12 @@
     /** Whether the backend servers of [service] reject what exceeds their capacity; false if unknown. */
     fun isGuarded(service: ServiceId): Boolean = configuration?.serviceOrNull(service)?.rejectsOverload == true
 
+    /** The run of [task] on [row] has ended or is abandoned. */
+    fun release(row: BackendRow, task: TaskRow) {
+        row.release(task)
+        if (reservations.find(task) === row) reservations.onEnded(task)
+    }
+
     fun token(backend: BackendRow): Long? = tokens[backend.info.failureDomain]
 }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -1,5 +1,6 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.reservations.BackendReservations
 import kotlin.time.TimeSource
 
 /**
@@ -15,7 +16,7 @@
     private val log: EventLog,
 ) {
     private val elapsed = ElapsedClock(clock)
-    private val tables = DispatchTables(settings.historyRetentionMs)
+    private val tables = DispatchTables(settings.historyRetentionMs, BackendReservations(log))
     private val ends = JobEndSystem(tables, actions, log)
 
     /** What owners tell each other of open jobs. */
@@ -23,9 +24,9 @@
 
     private val takeover = TakeoverSystem(settings, tables)
     private val health = BackendHealthSystem(settings, tables, log)
-    private val isolation = IsolationSystem(settings, tables, health, log)
     private val crashes = CrashSystem(settings, tables, actions, log)
     private val limits = LeaseLimits(settings, tables)
+    private val isolation = IsolationSystem(settings, tables, health, limits)
     private val placement = DispatchPlacement(
         settings, tables, actions, takeover, health, isolation, limits, openJobSystem, log,
     )
@@ -41,6 +42,9 @@
 
     public val openJobs: Int get() = tables.jobs.size
 
+    /** Number of backend servers that are reserved for one task each. */
+    public val reservedBackends: Int get() = tables.reservations.size
+
     /** Demand of running and queued tasks as a percentage of the capacity of the serving backend servers. */
     public fun loadPercent(): Int {
         val nowMs = nowMs()
@@ -312,6 +316,7 @@
         tickedAtMs = nowMs
         replies.runTimers(nowMs)
         ends.runDeadlines(nowMs)
+        tables.reservations.expire(nowMs)
         tables.histories.prune(nowMs) { it in tables.jobs }
         polls.run(nowMs)
         openJobSystem.run(nowMs)
@@ -331,6 +336,7 @@
         tables.jobs.clear()
         tables.waiting.clear()
         tables.backends.clear()
+        tables.reservations.clear()
         return moved
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -73,6 +73,9 @@
     /** Number of tasks that are known to have been on crashed backend servers. */
     public val suspects: Int get() = dispatcher.histories.count { it.possibleCrashes.isNotEmpty() }
 
+    /** Number of backend servers that are reserved for one task each. */
+    public val reservedBackends: Int get() = dispatcher.reservedBackends
+
     /** Whether this instance can accept jobs now. */
     public val isReady: Boolean
         get() = !leaving && configuration != null && ownerClient.ownerOrNull() != null &&
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobEndSystem.kt
@@ -15,7 +15,7 @@
         for (task in job.allTasks()) {
             if (task.isDispatched) stop(task, nowMs)
         }
-        if (job.allTasks().any { it.isSuspect }) endReservations(job)
+        tables.reservations.onJobEnded(job)
         val startedAtMs = if (job.everDispatched) job.firstDispatchedAtMs else nowMs
         log.event(
             "dispatch", "job-ended", "job", job.request.id, "queue", job.queue.id, "result", result,
@@ -27,14 +27,6 @@
         job.origins.forEach { actions.jobEnded(it, job.request.id, result) }
     }
 
-    /** Frees the backend servers that wait for tasks of [job]; those that run one are freed at its end. */
-    private fun endReservations(job: JobRow) {
-        for (row in tables.backends.values) {
-            val task = row.reservedFor
-            if (task?.job === job && task.backend == null) row.reservedFor = null
-        }
-    }
-
     /** Stops the run of [task]. Its capacity stays reserved until the backend server reports the end of the run. */
     fun stop(task: TaskRow, nowMs: Long) {
         val row = task.backend ?: return
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -17,7 +17,7 @@
 
     /** Lets [task] start again, unless it is given up. */
     fun requeue(task: TaskRow, nowMs: Long) {
-        task.backend?.release(task)
+        task.backend?.let { tables.release(it, task) }
         val job = task.job
         if (job.ended || task.state == TaskState.DONE) return
         placement.enqueue(task)
