Process results that arrive during a placement pass after it

Cause: a write to a connection that was just reset fails within the call that sends the start command. The result was processed, and another pass was run, within the loops of the first one: ConcurrentModificationException, and a stack overflow with many waiting tasks. Polls that failed at once had the same effect on the loop over the backend servers.

Change: passes, polls and results go through SequentialCalls, which carries out a call that arrives during another one after it. Results that arrive during one pass are followed by one further pass. If a call throws, those that wait are kept for the next one. A pass checks for a pause of the process when it begins, and clears the list of usable backend servers first, so that one which failed leaves nothing behind.

Ruled out: a deferred callback in HttpClient, which costs a wake-up or leaves other implementations of BackendCommands with the same fault.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -43,6 +43,8 @@
 
     fun run(nowMs: Long) {
         if (tables.waiting.isEmpty()) return
+        // It is not empty if the last pass has failed.
+        usable.clear()
         tables.backends.values.filterTo(usable) { health.isUsable(it, nowMs) }
         if (usable.isNotEmpty() || tables.reservations.size > 0) {
             if (tables.waitingIsDirty) {
@@ -53,7 +55,6 @@
             pass(nowMs, late = true)
             removeIdleJobs()
         }
-        usable.clear()
     }
 
     private fun removeIdleJobs() {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -35,6 +35,12 @@
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
     private val polls = BackendPollSystem(settings, tables, actions, limits, log)
+
+    /** Placement passes, polls and results: a result may arrive within the call that sends a command. */
+    private val calls = SequentialCalls()
+
+    /** Whether a placement pass waits in [calls]; it serves all results that are processed before it. */
+    private var isPassDue = false
     private var tickedAtMs = 0L
 
     /** Milliseconds since the dispatcher was created. */
@@ -174,7 +180,7 @@
         val failure = job.allTasks().filter { it.state != TaskState.DONE }.firstNotNullOfOrNull(crashes::resultOrNull)
         if (failure != null) ends.end(job, failure, nowMs)
         if (job.openTasks == 0) ends.end(job, JobResult.Complete, nowMs)
-        place(nowMs)
+        place()
     }
 
     /** A job of which an earlier attempt has runs is not refused as "not run", and so is sent to no other owner. */
@@ -213,7 +219,7 @@
         if (row.origins.isNotEmpty()) return
         log.event("dispatch", "job-cancelled", "job", job, "reason", reason, "ordered", row.everDispatched)
         ends.end(row, JobResult.Cancelled, nowMs())
-        place(nowMs())
+        place()
     }
 
     /**
@@ -287,8 +293,10 @@
     internal val openRequests: List<JobOrigin> get() = tables.jobs.values.flatMap { it.origins }
 
     public fun onStartResult(command: StartCommand, result: StartResult) {
-        replies.onStartResult(command, result, nowMs())
-        place(nowMs())
+        calls.run {
+            replies.onStartResult(command, result, nowMs())
+            place()
+        }
     }
 
     /** A stop command was acknowledged by the backend server, or got no usable response. */
@@ -297,19 +305,29 @@
     }
 
     public fun onPollResult(request: PollRequest, number: Long, result: PollResult) {
-        replies.onPollResult(request, number, result, nowMs())
-        polls.run(nowMs())
-        place(nowMs())
+        calls.run {
+            replies.onPollResult(request, number, result, nowMs())
+            poll()
+            place()
+        }
     }
 
     /**
      * Starts tasks, unless the process has just been paused: a message that was received before the pause may have been
      * revoked by one that is still unread. The next tick starts what is left.
      */
-    private fun place(nowMs: Long) {
-        if (nowMs - tickedAtMs <= PAUSE_MS) placement.run(nowMs)
+    private fun place() {
+        if (isPassDue) return
+        isPassDue = true
+        calls.run {
+            isPassDue = false
+            val nowMs = nowMs()
+            if (nowMs - tickedAtMs <= PAUSE_MS) placement.run(nowMs)
+        }
     }
 
+    private fun poll() = calls.run { polls.run(nowMs()) }
+
     /** Runs all timers; called every few milliseconds. */
     public fun tick() {
         val nowMs = nowMs()
@@ -318,9 +336,9 @@
         ends.runDeadlines(nowMs)
         tables.reservations.expire(nowMs)
         tables.histories.prune(nowMs) { it in tables.jobs }
-        polls.run(nowMs)
+        poll()
         openJobSystem.run(nowMs)
-        placement.run(nowMs)
+        place()
     }
 
     /** Removes all jobs so that the next owner can continue them. Returns the progress of each. */
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedBackends.kt
@@ -35,6 +35,16 @@
 
     /** The same for stop commands. */
     var lateStopByMs: (StopCommand) -> Long? = { null }
+
+    /** Result of a start command that is known within the call that sends it; null for normal ones. */
+    var immediateStart: (StartCommand) -> StartResult? = { null }
+
+    /** The same for polls. */
+    var immediatePoll: (PollRequest) -> PollResult? = { null }
+
+    /** Number of commands and polls that were sent while the result of another one was being processed at once. */
+    var nestedCalls = 0
+    private var hasImmediateResult = false
     var starts = 0
 
     /** Number of polls by the id of the backend server. */
@@ -135,11 +145,17 @@
             dispatcher.tick()
         }
 
-        override fun start(command: StartCommand) = start(this, command)
+        override fun start(command: StartCommand) {
+            val result = immediateStart(command) ?: return start(this, command)
+            respondAtOnce { dispatcher.onStartResult(command, result) }
+        }
 
         override fun stop(command: StopCommand) = stop(this, command)
 
-        override fun poll(request: PollRequest, number: Long) = poll(this, request, number)
+        override fun poll(request: PollRequest, number: Long) {
+            val result = immediatePoll(request) ?: return poll(this, request, number)
+            respondAtOnce { dispatcher.onPollResult(request, number, result) }
+        }
 
         override fun jobEnded(origin: JobOrigin, job: JobId, result: JobResult) {
             peers?.let { return it.jobEnded(origin, job, result) }
@@ -369,6 +385,13 @@
     fun submit(request: JobRequest, timeoutMs: Long = 3_000, progress: JobProgress? = null) =
         dispatcher.submit(request, JobOrigin("i1", request.id.value.hashCode().toLong()), timeoutMs, 0, progress)
 
+    private fun respondAtOnce(respond: () -> Unit) {
+        if (hasImmediateResult) nestedCalls++
+        hasImmediateResult = true
+        respond()
+        hasImmediateResult = false
+    }
+
     private fun start(owner: Owner, command: StartCommand) {
         val demand = demands.getValue(command.task.job)[command.task.step]
         val lateMs = lateByMs(command)
