Evacuate failure domains at the operators' request

Cause: the only way to keep tasks from starting in a failure domain was to drain each of its backend servers.

Instances pass it on in an optional field of the configuration message; heartbeats have its version once an evacuation is known, so that a deployment without any sends nothing more. An instance without a set holds its configuration back. An owner stays the owner of an evacuated domain; BackendRow.isServing is false there. If all its domains are evacuated, it refuses new jobs and moves those without runs to other owners, which are named in the moved message. Callers of the domain use the other owners in turn.

FleetStore.watchConfiguration has a second callback; the stores of three tests implement it. LoopbackFleet delivers a set, since nothing starts without one.

Ruled out: a message type of its own (earlier versions close the connection), comparing versions of empty sets (messages after each restart), release by the owner (stops the runs there).

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
@@ -16,7 +16,9 @@
     private fun update(info: BackendInfo, nowMs: Long) {
         val row = tables.backends[info.id]
         if (row == null) {
-            tables.backends[info.id] = BackendRow(info, tables.runs.lease(info), BackendClock(settings.clockDrift))
+            val new = BackendRow(info, tables.runs.lease(info), BackendClock(settings.clockDrift))
+            new.isEvacuated = info.failureDomain in tables.evacuated
+            tables.backends[info.id] = new
             return
         }
         if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -1,5 +1,7 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.evacuation.EvacuationSystem
+
 /** Whether a job is admitted. */
 internal sealed interface AdmissionDecision {
     class Admitted(val job: JobRow) : AdmissionDecision
@@ -74,6 +76,10 @@
 
     /** Refuses a job that would start too late, given the work that is served before it. */
     private fun overload(job: JobRow, nowMs: Long): AdmissionDecision? {
+        if (tables.areAllEvacuated) {
+            tables.startsAvoided += job.openTasks
+            return refused(job.request, NotRunCode.OVERLOAD, EvacuationSystem.REASON, SHORT_RETRY_MS)
+        }
         val rate = workRate(job.queue.service, nowMs)
         val unplacedShare = if (rate > 0) unplacedShare(job, nowMs) else 1.0
         if (unplacedShare == 0.0) return null
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -260,8 +260,12 @@
     /** After an ejection, one task at a time tests whether the backend server has recovered. */
     val isBeingProbed: Boolean get() = isOnProbation && tasks.isNotEmpty()
 
-    /** Whether it contributes to the capacity: neither draining, unreachable nor ejected. */
-    fun isServing(nowMs: Long): Boolean = !info.draining && !isUnreachable && !isDisplaced && ejectedUntilMs <= nowMs
+    /** Whether its failure domain is evacuated: it starts no new tasks, and those that run there may end. */
+    var isEvacuated = false
+
+    /** Whether it contributes to the capacity: neither draining, evacuated, unreachable nor ejected. */
+    fun isServing(nowMs: Long): Boolean =
+        !info.draining && !isEvacuated && !isUnreachable && !isDisplaced && ejectedUntilMs <= nowMs
 
     fun hasLabel(required: String?): Boolean = required == null || (isDescribed && required in info.labels)
 
@@ -323,6 +327,16 @@
     /** The same for the failure domains that their previous owners have not released. */
     val takenOverAtMs = HashMap<String, Long>()
 
+    /** Failure domains in which no new task starts, whether or not this instance owns them. */
+    var evacuated: Set<String> = emptySet()
+
+    /** Tasks that were not started here since all owned failure domains are evacuated. */
+    var startsAvoided = 0L
+
+    /** Whether all owned failure domains are evacuated. */
+    val areAllEvacuated: Boolean
+        get() = evacuated.isNotEmpty() && tokens.isNotEmpty() && evacuated.containsAll(tokens.keys)
+
     val runs = ActiveRunTable()
     val cancelledJobs = CancelledJobs()
     val waitEstimator = WaitEstimator()
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -1,5 +1,6 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.evacuation.EvacuationSystem
 import kotlin.time.TimeSource
 
 /**
@@ -33,6 +34,7 @@
     private val listing = BackendListingSystem(settings, tables, losses, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
+    internal val evacuation = EvacuationSystem(tables, openJobSystem, ends)
     private val polls = BackendPollSystem(settings, tables, actions, limits, log)
     private var tickedAtMs = 0L
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -1,6 +1,8 @@
 package medlarroute.dispatch
 
 import io.netty.channel.EventLoopGroup
+import medlarroute.dispatch.evacuation.EvacuatedDomains
+import medlarroute.dispatch.evacuation.EvacuationState
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
@@ -44,12 +46,17 @@
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
+    private val evacuation = EvacuationState(settings.failureDomains, clock, log)
+
+    /** A configuration that is not in force yet since the evacuated failure domains are unknown. */
+    private var pendingConfiguration: DispatchConfiguration? = null
     private val selection = OwnerSelection(
         own = { PeerView(self, PeerState.ALIVE, ownership.owned, leaving) },
         peers = network::views,
         isPerDomain = { ownership.isPerDomain },
         heartbeatOf = network::heartbeatOf,
         ownLoadPercent = dispatcher::loadPercent,
+        evacuated = { evacuation.active },
     )
     private val domainOwners = DomainOwnerTimes(
         clock,
@@ -73,6 +80,10 @@
     /** Number of tasks that are known to have been on crashed backend servers. */
     public val suspects: Int get() = dispatcher.histories.count { it.possibleCrashes.isNotEmpty() }
 
+    /** Number of failure domains that are evacuated, and of the tasks that were therefore not started here. */
+    public val evacuatedDomains: Int get() = evacuation.active.size
+    public val startsAvoided: Long get() = dispatcher.evacuation.startsAvoided
+
     /** Whether this instance can accept jobs now. */
     public val isReady: Boolean
         get() = !leaving && configuration != null && ownerClient.ownerOrNull() != null &&
@@ -83,7 +94,7 @@
         network.listen(settings.self.host, settings.self.port)
         group.next().execute {
             register()
-            store.watchConfiguration(::onConfiguration)
+            store.watchConfiguration(::onConfiguration) { onEvacuated(it, "store") }
             store.watchMembers(::onMembers)
             settings.seeds.forEach { (host, port) -> if (host != self.host) network.dialAddress(host, port) }
         }
@@ -131,7 +142,12 @@
         network.setMembers(members.filter { it.instance != self.instance })
     }
 
+    /** As without a configuration, this instance starts no task before it knows the evacuated failure domains. */
     private fun onConfiguration(next: DispatchConfiguration) {
+        if (evacuation.current == null) {
+            if (next.version > (pendingConfiguration?.version ?: 0)) pendingConfiguration = next
+            return
+        }
         val current = configuration
         if (current != null && next.version <= current.version) return
         configuration = next
@@ -148,6 +164,21 @@
         dispatcher.configure(next)
     }
 
+    private fun onEvacuated(next: EvacuatedDomains, source: String) {
+        if (!evacuation.offer(next, source)) return
+        dispatcher.evacuation.evacuate(evacuation.active)
+        pendingConfiguration?.let(::onConfiguration)
+        pendingConfiguration = null
+        moveEvacuatedJobs()
+    }
+
+    /** If all failure domains of this instance are evacuated, its jobs go to the owners of others. */
+    private fun moveEvacuatedJobs() {
+        if (dispatcher.evacuation.isNeeded) {
+            dispatcher.evacuation.moveJobs(selection.otherServingOwners(), dispatcher.nowMs())
+        }
+    }
+
     private fun noticeSuspension() {
         val suspendedMs = suspensions.newlySuspendedMs()
         if (suspendedMs == 0L) return
@@ -181,6 +212,7 @@
         renewJobs()
         if (listing.removeExpired()) applyListing()
         ownerReports.informNewOwners()
+        moveEvacuatedJobs()
         entry.tick()
     }
 
@@ -266,6 +298,7 @@
             if (dispatcher.ownedDomains.isEmpty()) emptyMap() else selection.otherLoads(),
             store.isReachable,
             leaving,
+            evacuationVersion = evacuation.heartbeatVersion,
         )
 
     private inner class OwnershipChanges : OwnershipListener {
@@ -430,7 +463,10 @@
                 is PeerMessage.Moved ->
                     entry.onMoved(message.number, message.job, message.progress, message.openAt)
 
-                is PeerMessage.Configuration -> onConfiguration(message.configuration)
+                is PeerMessage.Configuration -> {
+                    message.evacuated?.let { onEvacuated(it, peer.instance) }
+                    onConfiguration(message.configuration)
+                }
 
                 is PeerMessage.Backends -> takeList(BackendList(message.version, message.backends), peer.instance)
 
@@ -459,13 +495,15 @@
                 ownerReports.forget(peer.instance)
             }
             val current = configuration ?: return
-            if (heartbeat.configurationVersion < current.version) {
-                network.send(peer.instance, PeerMessage.Configuration(current))
+            val isBehind = evacuation.shouldSend(peer.instance, heartbeat.evacuationVersion)
+            if (isBehind || heartbeat.configurationVersion < current.version) {
+                network.send(peer.instance, PeerMessage.Configuration(current, evacuation.current))
             }
         }
 
         override fun onConnected(peer: PeerMember) {
             withoutStore -= peer.instance
+            evacuation.onConnected(peer.instance)
             ownerReports.forget(peer.instance)
             if (dispatcher.ownedDomains.isNotEmpty()) {
                 network.send(peer.instance, PeerMessage.Backends(listing.backends, listing.version))
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
@@ -1,6 +1,7 @@
 package medlarroute.dispatch
 
 import kotlinx.serialization.Serializable
+import medlarroute.dispatch.evacuation.EvacuatedDomains
 
 /**
  * An instance as known to the store and to its peers.
@@ -79,8 +80,14 @@
     /** Watches the registered instances until the process ends. */
     public fun watchMembers(onMembers: (List<PeerMember>) -> Unit)
 
-    /** Watches the configuration until the process ends. */
-    public fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit)
+    /**
+     * Watches the configuration and the evacuated failure domains until the process ends. Where both have changed,
+     * [onEvacuated] is called first.
+     */
+    public fun watchConfiguration(
+        onConfiguration: (DispatchConfiguration) -> Unit,
+        onEvacuated: (EvacuatedDomains) -> Unit,
+    )
 
     /** Starts or stops watching the list of backend servers. */
     public fun watchBackends(enabled: Boolean, onBackends: (BackendList) -> Unit)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OpenJobSystem.kt
@@ -193,6 +193,12 @@
         }
     }
 
+    /** Sends the instances that wait for [job], which has no run here, to [owner]. A later submission follows. */
+    fun moveTo(job: JobRow, owner: String, nowMs: Long) {
+        yieldJob(job, owner, nowMs)
+        openElsewhere[job.request.id] = OpenElsewhere(owner, nowMs + longestRunMs(settings))
+    }
+
     /** Sends the instances that wait for [job] to [owner]. */
     private fun yieldJob(job: JobRow, owner: String, nowMs: Long) {
         val progress = tables.progressOf(job, nowMs)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
@@ -8,6 +8,7 @@
  * @property isPerDomain whether each failure domain has an owner of its own.
  * @property heartbeatOf last heartbeat of a peer; null unless it is alive.
  * @property ownLoadPercent load of the instance itself as an owner.
+ * @property evacuated failure domains in which no new task starts.
  */
 internal class OwnerSelection(
     private val own: () -> PeerView,
@@ -15,7 +16,10 @@
     private val isPerDomain: () -> Boolean,
     private val heartbeatOf: (String) -> PeerMessage.Heartbeat?,
     private val ownLoadPercent: () -> Int,
+    private val evacuated: () -> Set<String> = { emptySet() },
 ) {
+    private var turn = 0
+
     /** All reachable owners, including the instance itself. */
     fun owners(): List<PeerView> =
         (peers() + own()).filter { it.state == PeerState.ALIVE && it.owned.isNotEmpty() }
@@ -34,14 +38,31 @@
     /** Loads of the other owners in percent. */
     fun otherLoads(): Map<String, Int> = otherOwners().associateWith { heartbeatOf(it)?.loadPercent ?: 0 }
 
-    /** The owner for new jobs; null if there is none. */
+    /**
+     * The owner for new jobs; null if there is none. The jobs of an evacuated failure domain are spread over the owners
+     * of the others. If all are evacuated, the owner refuses them.
+     */
     fun ownerOrNull(): String? {
         val owners = owners()
         val ownDomain = own().member.failureDomain
+        val isEvacuated = isPerDomain() && ownDomain in evacuated()
+        if (isEvacuated) nextOrNull(owners.filter(::isServing))?.let { return it }
         val nearest = owners.firstOrNull { isPerDomain() && ownDomain in it.owned }
-        return (nearest ?: owners.minWithOrNull(BEST_OWNER))?.member?.instance
+        return (nearest ?: owners.filter(::isServing).ifEmpty { owners }.minWithOrNull(BEST_OWNER))?.member?.instance
     }
 
+    /** The other reachable owners of which at least one failure domain is not evacuated. */
+    fun otherServingOwners(): List<String> =
+        owners().filter(::isServing).map { it.member.instance }.filter { it != own().member.instance }.sorted()
+
+    private fun isServing(owner: PeerView): Boolean {
+        val evacuated = evacuated()
+        return evacuated.isEmpty() || owner.owned.keys.any { it !in evacuated }
+    }
+
+    private fun nextOrNull(owners: List<PeerView>): String? =
+        if (owners.isEmpty()) null else owners[turn++.mod(owners.size)].member.instance
+
     /** The owner for a job that [owner] has refused; null if there is none with spare capacity. */
     fun lessLoadedOrNull(owner: String): String? {
         val loadsAtOwner = heartbeatOf(owner)?.ownerLoads.orEmpty()
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import medlarroute.dispatch.evacuation.EvacuatedDomains
 
 /** Messages between instances. */
 @Serializable
@@ -25,6 +26,7 @@
      * @property intervalMs time until the sender's next heartbeat, in milliseconds.
      * @property sentAtMs time on the sender's clock, see [PeerClock].
      * @property renewal the sender's open requests at the receiver; null if there are none.
+     * @property evacuationVersion version of the sender's [EvacuatedDomains]; 0 if it has only known the empty set.
      */
     @Serializable
     @SerialName("beat")
@@ -40,6 +42,7 @@
         val intervalMs: Long = 100,
         val sentAtMs: Long = 0,
         val renewal: Renewal? = null,
+        val evacuationVersion: Long = 0,
     ) : PeerMessage {
         /** The content of which a change is reported at once. */
         internal fun withoutLoads(): Heartbeat = copy(loadPercent = 0, ownerLoads = emptyMap())
@@ -102,10 +105,17 @@
         val openAt: String? = null,
     ) : PeerMessage
 
-    /** A configuration that the receiver lacks. */
+    /**
+     * A configuration that the receiver lacks, or evacuated failure domains that it does not know of.
+     *
+     * @property evacuated null if the sender is of an earlier version of the program.
+     */
     @Serializable
     @SerialName("configuration")
-    public data class Configuration(val configuration: DispatchConfiguration) : PeerMessage
+    public data class Configuration(
+        val configuration: DispatchConfiguration,
+        val evacuated: EvacuatedDomains? = null,
+    ) : PeerMessage
 
     /** The sender's list of backend servers, as of [version] of the store. */
     @Serializable
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LateStoreResponseTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LateStoreResponseTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import medlarroute.dispatch.evacuation.EvacuatedDomains
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
@@ -40,7 +41,10 @@
 
             override fun watchMembers(onMembers: (List<PeerMember>) -> Unit) = Unit
 
-            override fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit) = Unit
+            override fun watchConfiguration(
+                onConfiguration: (DispatchConfiguration) -> Unit,
+                onEvacuated: (EvacuatedDomains) -> Unit,
+            ) = Unit
 
             override fun watchBackends(enabled: Boolean, onBackends: (BackendList) -> Unit) = Unit
         }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
@@ -3,8 +3,10 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import medlarroute.dispatch.evacuation.EvacuatedDomains
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.TimeSource
 
@@ -19,6 +21,8 @@
     private val memberWatches = ArrayList<() -> Unit>()
     private val running = HashMap<String, LinkedHashMap<TaskKey, Int>>()
     private val tokens = HashMap<String, Long>()
+    private val evacuationWatches = ArrayList<() -> Unit>()
+    private var evacuated = EvacuatedDomains(1)
     private var version = 1L
     private val startedJobs = ArrayList<JobId>()
     private val backends = domains.map { domain ->
@@ -46,7 +50,7 @@
                 perDomainOwnersFrom = perDomainOwnersFrom,
             ),
             group,
-            Store(group),
+            Store(name, group),
             Commands(group),
             MachineClocks(TimeSource.Monotonic, TimeSource.Monotonic),
         ) { _, _, _ -> }
@@ -59,6 +63,8 @@
             return result.get(TIMEOUT_S, TimeUnit.SECONDS)
         }
 
+        val evacuatedDomains: Int get() = call { fleet.evacuatedDomains }
+
         val isReady: Boolean get() = call { fleet.isReady }
 
         fun submit(job: JobRequest): CompletableFuture<JobResult> {
@@ -77,6 +83,15 @@
         }
     }
 
+    /** Instances that do not receive the evacuated failure domains from the store. */
+    val withoutEvacuated: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    /** Writes the evacuated failure domains to the store. */
+    fun evacuate(vararg domains: String) = synchronized(lock) {
+        evacuated = EvacuatedDomains(++version, domains.toSet())
+        evacuationWatches.forEach { it() }
+    }
+
     fun add(name: String, domain: String): Instance = Instance(name, domain).also {
         instances += it
         it.start()
@@ -95,11 +110,14 @@
     fun isRunning(job: JobId): Boolean =
         synchronized(lock) { running.values.any { runs -> runs.keys.any { it.job == job } } }
 
+    fun isRunningIn(domain: String, job: JobId): Boolean =
+        synchronized(lock) { running["b-$domain"].orEmpty().keys.any { it.job == job } }
+
     fun starts(job: JobId): Int = synchronized(lock) { startedJobs.count { it == job } }
 
     override fun close() = instances.forEach { it.stop() }
 
-    private inner class Store(private val group: EventLoopGroup) : FleetStore {
+    private inner class Store(private val name: String, private val group: EventLoopGroup) : FleetStore {
         override val isReachable = true
 
         private fun reply(action: () -> Unit) = group.next().execute(action)
@@ -139,8 +157,18 @@
             notify()
         }
 
-        override fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit) =
+        override fun watchConfiguration(
+            onConfiguration: (DispatchConfiguration) -> Unit,
+            onEvacuated: (EvacuatedDomains) -> Unit,
+        ) = synchronized(lock) {
+            val notify = {
+                val copy = evacuated
+                if (name !in withoutEvacuated) reply { onEvacuated(copy) }
+            }
+            evacuationWatches += notify
+            notify()
             reply { onConfiguration(configuration) }
+        }
 
         override fun watchBackends(enabled: Boolean, onBackends: (BackendList) -> Unit) {
             if (enabled) onBackends(BackendList(1, backends))
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.maps.shouldNotBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import medlarroute.dispatch.evacuation.EvacuatedDomains
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
@@ -42,7 +43,10 @@
 
             override fun watchMembers(onMembers: (List<PeerMember>) -> Unit) = Unit
 
-            override fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit) = Unit
+            override fun watchConfiguration(
+                onConfiguration: (DispatchConfiguration) -> Unit,
+                onEvacuated: (EvacuatedDomains) -> Unit,
+            ) = Unit
 
             override fun watchBackends(enabled: Boolean, onBackends: (BackendList) -> Unit) = Unit
         }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerMessageTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerMessageTest.kt
@@ -29,5 +29,17 @@
         decode("""{"type":"active","tasks":[$run]}""") shouldBe PeerMessage.ActiveRuns(tasks)
         decode("""{"type":"moved","number":1,"job":"j","progress":{}}""") shouldBe
             PeerMessage.Moved(1, JobId("j"), JobProgress(), openAt = null)
+        val configuration = """{"version":1,"queues":[],"services":[],"limits":""" +
+            """{"headerBytes":1,"bodyBytes":1,"idleTimeoutMs":1}}"""
+        (decode("""{"type":"configuration","configuration":$configuration}""") as PeerMessage.Configuration)
+            .evacuated shouldBe null
+    }
+
+    /** Guards against longer heartbeats in deployments that never evacuate a failure domain. */
+    @Test
+    fun `a heartbeat without an evacuation has no field for it`() {
+        encode(PeerMessage.Heartbeat(configurationVersion = 3)) shouldBe """{"type":"beat","configurationVersion":3}"""
+        val evacuating = PeerMessage.Heartbeat(evacuationVersion = 7)
+        decode(encode(evacuating)) shouldBe evacuating
     }
 }
