--- a/dispatch/src/test/kotlin/medlarroute/dispatch/FarRackTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/FarRackTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import medlarroute.dispatch.reservations.BackendReservations
 import org.junit.jupiter.api.Test
 
 /** Predictions for tasks on a rack other than the one that holds their data. */
@@ -44,8 +45,9 @@
     @Test
     fun `the time of a run on another rack says nothing about the speed of the backend server`() {
         val settings = DispatchSettings(farRackFactor = 3.0)
-        val tables = DispatchTables(settings.historyRetentionMs)
-        val health = BackendHealthSystem(settings, tables) { _, _, _ -> }
+        val log = EventLog { _, _, _ -> }
+        val tables = DispatchTables(settings.historyRetentionMs, BackendReservations(log))
+        val health = BackendHealthSystem(settings, tables, log)
         val step = StepRequest(1, Resources(1_000, 64, 0), 50, preferredRack = "r1")
         val job = JobRow(JobRequest(JobId("j"), QueueId("q"), "", listOf(step)), SimulatedBackends.queue(), 0, 3_000)
         job.estimatesMs[0] = 50.0
