Keep timers going after an Error, or end the process

Cause: scheduleEvery caught RuntimeException only. An executor drops a timer whose action throws, so after a StackOverflowError an owner kept its ownership, since the other timers went on, but started nothing.

Change: guardedTimer decides by the kind of error. Exceptions, stack overflows and failed assertions are logged (tick-failed), and the timer continues. Other errors of the virtual machine (OutOfMemoryError, InternalError) and of class loading (LinkageError) are logged (fatal-error) and end the process with status 3. The process is halted: the shutdown hook waits for the event loop, which is the thread that has failed.

The exit of a real process was not run.

Ruled out: -XX:+ExitOnOutOfMemoryError, which leaves no line of the event log and does not cover the other errors.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -9,6 +9,8 @@
  * servers of the failure domains that it owns.
  *
  * Confined to the single event loop of [group]; only [start] is called from outside.
+ *
+ * @param exit ends the process with a status, on the event loop, after an error that it does not recover from.
  */
 public class FleetInstance(
     private val settings: FleetSettings,
@@ -16,6 +18,7 @@
     private val store: FleetStore,
     private val commands: BackendCommands,
     clocks: MachineClocks,
+    private val exit: (status: Int) -> Unit = { Runtime.getRuntime().halt(it) },
     private val log: EventLog,
 ) {
     private val clock = clocks.elapsed
@@ -105,16 +108,9 @@
         }
     }
 
-    private fun scheduleEvery(periodMs: Long, action: () -> Unit): Future<*> {
-        val guarded = Runnable {
-            try {
-                action()
-            } catch (e: RuntimeException) {
-                log.event("instance", "tick-failed", "error", e.toString(), "at", e.stackTrace.firstOrNull())
-            }
-        }
-        return group.next().scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS)
-    }
+    private fun scheduleEvery(periodMs: Long, action: () -> Unit): Future<*> =
+        group.next()
+            .scheduleWithFixedDelay(guardedTimer(log, exit, action), periodMs, periodMs, TimeUnit.MILLISECONDS)
 
     private fun register() {
         store.register(self) { number ->
