--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -11,9 +11,11 @@
         if (row.ejections > 0) log.event("backend", "restored", "backend", row.info.id, "ejections", row.ejections)
         row.ejections = 0
         val estimateMs = task.job.estimatesMs[task.key.step]
-        val sample = (estimateMs / runMs.coerceAtLeast(1.0)).coerceIn(MIN_SPEED, MAX_SPEED)
+        // A run on another rack than that of its data takes longer, which says nothing about the speed.
+        val localMs = runMs / settings.rackFactor(task.step, row.info)
+        val sample = (estimateMs / localMs.coerceAtLeast(1.0)).coerceIn(MIN_SPEED, MAX_SPEED)
         row.speed += (sample - row.speed) * SPEED_WEIGHT
-        tables.runTimes.getOrPut(task.job.queue.id) { RunTimeEstimator() }.record(runMs * row.speed)
+        tables.runTimes.getOrPut(task.job.queue.id) { RunTimeEstimator() }.record(localMs * row.speed)
     }
 
     fun recordFailure(row: BackendRow, reason: String, nowMs: Long, weight: Int = 1) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -151,7 +151,7 @@
         var fastestMs = Double.MAX_VALUE
         for (row in usable) {
             if (!canRun(task, row) || !limits.mayStart(task.job, row, nowMs)) continue
-            val runMs = estimateMs / row.speed * rackFactor(task.step, row.info)
+            val runMs = estimateMs / row.speed * settings.rackFactor(task.step, row.info)
             // Skip backend servers that would make the job late as long as it can end in time on one of speed 1.
             if (runMs > allowedMs && estimateMs <= allowedMs) continue
             val isInTime = runMs * ESTIMATE_MARGIN <= allowedMs
@@ -182,9 +182,6 @@
         return row.tasks.values.count { it.job === task.job && it.key.step == task.key.step } < limit
     }
 
-    private fun rackFactor(step: StepRequest, info: BackendInfo): Double =
-        if (step.preferredRack == null || step.preferredRack in info.labels) 1.0 else FAR_RACK_FACTOR
-
     private fun start(task: TaskRow, row: BackendRow, nowMs: Long) {
         val token = tables.token(row) ?: return
         val clockMs = row.backendClockMs(nowMs) ?: return
@@ -224,9 +221,6 @@
     private companion object {
         /** Run times vary around the estimate with a spread of about 0.4; one in ten exceeds it by this factor. */
         const val ESTIMATE_MARGIN = 1.5
-
-        /** Slowdown of tasks that run on another rack than their data, as given by the platform. */
-        const val FAR_RACK_FACTOR = 2.0
         val SERVING_ORDER = compareByDescending<JobRow> { it.everDispatched }
             .thenBy { it.latestStartMs }
             .thenBy { it.queue.priority }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -45,6 +45,7 @@
  *   they are busy.
  * @property historyRetentionMs how long the history of a task is kept after its last change and the end of its job;
  *   longer than a caller repeats a job.
+ * @property farRackFactor how many times as long a task runs on a rack other than the one that holds its data.
  * @property maxOpenJobs maximum number of open jobs; bounds memory.
  */
 public data class DispatchSettings(
@@ -74,23 +75,40 @@
     val crashConfirmationMs: Long = 300,
     val isolationShare: Double = 0.25,
     val historyRetentionMs: Long = 60_000,
+    val farRackFactor: Double = 2.0,
 ) {
+    /** How many times as long a task of [step] is expected to run on [backend] as it would on its preferred rack. */
+    internal fun rackFactor(step: StepRequest, backend: BackendInfo): Double =
+        if (step.preferredRack == null || step.preferredRack in backend.labels) 1.0 else farRackFactor
+
     /** Longest lease that an owner grants; it does so to a backend server without runs. */
     internal val longestLeaseMs: Long get() = leaseMs + (idlePollWaitMs - pollWaitMs).coerceAtLeast(0)
 
     /**
-     * Returns what these times need of a deployment and do not get; tasks may run twice there.
+     * Returns the times of a deployment that these settings can't rely on; tasks may run twice there.
      *
      * @param callerRepeatMs how long a caller waits at least before it sends a job again, in milliseconds.
      * @param stopMs how long a run goes on at most after its stop was acknowledged, in milliseconds.
      * @param maxLeaseMs longest lease that a backend server grants, in milliseconds.
      */
-    public fun unmetNeeds(callerRepeatMs: Long, stopMs: Long, maxLeaseMs: Long): List<String> {
+    public fun unmetNeeds(callerRepeatMs: Long, stopMs: Long, maxLeaseMs: Long): List<TimeConflict> {
         val longestMs = longestRunMs(this)
         return listOfNotNull(
-            "callers repeat after $callerRepeatMs ms, runs last $longestMs ms".takeIf { callerRepeatMs < longestMs },
-            "stops take $stopMs ms, $STOP_MARGIN_MS ms are expected".takeIf { stopMs > STOP_MARGIN_MS },
-            "leases last for $maxLeaseMs ms, $longestLeaseMs ms are used".takeIf { maxLeaseMs < longestLeaseMs },
+            TimeConflict.CallerRepeat(callerRepeatMs, longestMs).takeIf { callerRepeatMs < longestMs },
+            TimeConflict.Stop(stopMs, STOP_MARGIN_MS).takeIf { stopMs > STOP_MARGIN_MS },
+            TimeConflict.Lease(maxLeaseMs, longestLeaseMs).takeIf { maxLeaseMs < longestLeaseMs },
         )
     }
 }
+
+/** A time that a deployment promises and that is inconsistent with one of [DispatchSettings]; both in milliseconds. */
+public sealed interface TimeConflict {
+    /** Callers repeat a job after [promisedMs], while runs of the first attempt go on for up to [neededMs]. */
+    public data class CallerRepeat(val promisedMs: Long, val neededMs: Long) : TimeConflict
+
+    /** Runs go on for [promisedMs] after their stop, while they count as ended after [expectedMs]. */
+    public data class Stop(val promisedMs: Long, val expectedMs: Long) : TimeConflict
+
+    /** Backend servers grant leases of [promisedMs] at most, while leases of [usedMs] are requested. */
+    public data class Lease(val promisedMs: Long, val usedMs: Long) : TimeConflict
+}
