Let load patterns describe a deployment and its bursts

The load pattern had one fixed deployment. Kinds of jobs, backend servers, demands, stragglers and bursts are parameters now, so that scarce and uneven capacity can be simulated. The default deployment is the former one, with sizes of backend servers that do not depend on their speed.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LoadPattern.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LoadPattern.kt
@@ -17,6 +17,27 @@
     val value: Double,
 )
 
+/** Multiplies the rate of the jobs of [queue], or of all if it is null, by [factor] for [forMs]. */
+internal class Burst(val queue: String?, val factor: Double, val atMs: Long, val forMs: Long)
+
+/**
+ * Backend servers and traffic of a deployment, or of the part of it that one owner has.
+ *
+ * @property speeds speeds of the backend servers by turns.
+ * @property cores cores of a backend server; every third one has half as many again.
+ * @property demandMillis mean demand of a task, in thousandths of a core, with a spread of 0.2.
+ * @property tailShare fraction of the tasks that take seven times as long.
+ */
+internal class SimulatedDeployment(
+    val kinds: List<JobKind>,
+    val backends: Int,
+    val speeds: List<Double> = listOf(0.6, 1.0, 1.6),
+    val cores: Int = 16,
+    val demandMillis: Int = 6_800,
+    val tailShare: Double = 0.03,
+    val bursts: List<Burst> = emptyList(),
+)
+
 /** Numbers of jobs of one kind by their result. */
 internal class KindResult(val submitted: Int, val inTime: Int, val late: Int, val refused: Int, val other: Int)
 
@@ -29,16 +50,12 @@
 internal class LoadPattern(
     private val loadFactor: Double,
     private val seconds: Int = 20,
-    private val backends: Int = 32,
     private val amplitude: Double = 0.55,
     private val seed: Int = 1,
+    private val deployment: SimulatedDeployment = SimulatedDeployment(KINDS, backends = 32),
     private val setUp: SimulatedBackends.() -> Unit = {},
 ) {
-    val kinds = listOf(
-        JobKind("check", priority = 0, perSecond = 21.2, tasks = 8, workMs = 51.0, value = 0.0291),
-        JobKind("proof", priority = 2, perSecond = 3.85, tasks = 4, workMs = 760.0, value = 0.16),
-        JobKind("tally", priority = 1, perSecond = 61.6, tasks = 2, workMs = 170.0, value = 0.01),
-    )
+    val kinds = deployment.kinds
     private val random = Random(seed)
     val sim = SimulatedBackends()
     private val works = HashMap<TaskKey, Long>()
@@ -53,8 +70,11 @@
 
     fun run(): LoadPattern {
         sim.configure(*kinds.map { SimulatedBackends.queue(it.queue, it.priority) }.toTypedArray())
-        repeat(backends) { number ->
-            sim.add("b$number", SPEEDS[number % SPEEDS.size], cores = if (number % LARGE_EVERY == 0) 24 else 16)
+        repeat(deployment.backends) { number ->
+            // The size must not depend on the speed.
+            val isLarge = (number / deployment.speeds.size + number) % LARGE_EVERY == 0
+            val cores = if (isLarge) deployment.cores * 3 / 2 else deployment.cores
+            sim.add("b$number", deployment.speeds[number % deployment.speeds.size], cores = cores)
         }
         sim.workMs = { works.getValue(it) }
         sim.setUp()
@@ -68,7 +88,7 @@
 
     private fun scheduleNext(kind: JobKind) {
         val phase = 2 * PI * sim.nowMs / RATE_PERIOD_MS
-        val rate = kind.perSecond * loadFactor * (1 + amplitude * sin(phase)) / 1_000
+        val rate = kind.perSecond * loadFactor * burstFactor(kind) * (1 + amplitude * sin(phase)) / 1_000
         val gapMs = (-ln(1 - random.nextDouble()) / rate).roundToInt().coerceAtLeast(1)
         sim.after(gapMs.toLong()) {
             if (sim.nowMs > seconds * 1_000L) return@after
@@ -77,6 +97,10 @@
         }
     }
 
+    private fun burstFactor(kind: JobKind): Double = deployment.bursts
+        .filter { (it.queue == null || it.queue == kind.queue) && sim.nowMs in it.atMs..<it.atMs + it.forMs }
+        .fold(1.0) { factor, burst -> factor * burst.factor }
+
     private fun spread(mean: Double) = mean * exp(SPREAD * gaussian() - SPREAD * SPREAD / 2)
 
     private fun gaussian() = List(12) { random.nextDouble() }.sum() - 6
@@ -87,12 +111,13 @@
         val jobMs = spread(kind.workMs)
         var longestMs = 0L
         for (index in 0 until width) {
-            val tail = if (random.nextDouble() < TAIL_SHARE) TAIL_FACTOR else 1.0
+            val tail = if (random.nextDouble() < deployment.tailShare) TAIL_FACTOR else 1.0
             val workMs = (jobMs * (1 + UNEVEN * gaussian()).coerceAtLeast(0.3) * tail).toLong().coerceAtLeast(1)
             works[TaskKey(JobId(id), 0, index)] = workMs
             longestMs = maxOf(longestMs, workMs)
         }
-        val cpu = (6_800 * (1 + 0.2 * gaussian())).toInt().coerceIn(2_000, 10_000)
+        val mean = deployment.demandMillis
+        val cpu = (mean * (1 + 0.2 * gaussian())).toInt().coerceIn(mean / 3, mean * 3 / 2)
         val job = sim.job(id, width, cpu, kind.queue, spread(jobMs).toLong().coerceAtLeast(1))
         kindOf[job.id] = kind
         submittedAt[job.id] = sim.nowMs
@@ -131,12 +156,15 @@
         } + ", refused late ${refusedLate(35)}"
 
     private companion object {
-        val SPEEDS = listOf(0.6, 1.0, 1.6)
+        val KINDS = listOf(
+            JobKind("check", priority = 0, perSecond = 21.2, tasks = 8, workMs = 51.0, value = 0.0291),
+            JobKind("proof", priority = 2, perSecond = 3.85, tasks = 4, workMs = 760.0, value = 0.16),
+            JobKind("tally", priority = 1, perSecond = 61.6, tasks = 2, workMs = 170.0, value = 0.01),
+        )
         const val LARGE_EVERY = 3
         const val RATE_PERIOD_MS = 13_000.0
         const val SPREAD = 0.4
         const val UNEVEN = 0.15
-        const val TAIL_SHARE = 0.03
         const val TAIL_FACTOR = 7.0
     }
 }
