Remove the registrations of instances that are gone for good

Cause: rows of the table members were never removed, so that a deployment of eight counted as sixteen after all its machines had been replaced, and each failure domain got an owner of its own.

Change: an owner counts how long a registered instance has given no sign of life and then removes its row, on condition of its version: after 30 s, or 10 min if nothing is heard of its failure domain or of anyone. Halfway it asks its peers in an optional field of its heartbeats; those that hear the instance say so, which starts the count anew.

Ruled out: writing the row again as a sign of life, since its version is the number of the incarnation.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -42,6 +42,10 @@
     private var leaving = false
     private var lastTickAtMs = 0L
     private var isMembershipKnown = false
+
+    /** Whether the store's list has contained the present registration of this instance. */
+    private var isListed = false
+    private val memberRemoval = MemberRemoval(settings.self, store, network::isAlive, log, settings.memberGoneMs)
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
     private val selection = OwnerSelection(
@@ -128,9 +132,21 @@
 
     private fun onMembers(members: List<PeerMember>) {
         isMembershipKnown = true
+        memberRemoval.onMembers(members)
+        registerIfRemoved(members)
         network.setMembers(members.filter { it.instance != self.instance })
     }
 
+    /** An owner removes the row of an instance that it has not heard for long, such as one that was isolated. */
+    private fun registerIfRemoved(members: List<PeerMember>) {
+        val wasListed = isListed
+        isListed = members.any { it.instance == self.instance && it.number == self.number }
+        val isRemoved = wasListed && members.none { it.instance == self.instance }
+        if (!isRemoved || leaving) return
+        log.event("instance", "registration-removed", "number", self.number)
+        register()
+    }
+
     private fun onConfiguration(next: DispatchConfiguration) {
         val current = configuration
         if (current != null && next.version <= current.version) return
@@ -178,6 +194,7 @@
                 }
             }
         }
+        memberRemoval.onTick(dispatcher.nowMs(), isOwner = ownership.owned.isNotEmpty())
         renewJobs()
         if (listing.removeExpired()) applyListing()
         ownerReports.informNewOwners()
@@ -266,6 +283,8 @@
             if (dispatcher.ownedDomains.isEmpty()) emptyMap() else selection.otherLoads(),
             store.isReachable,
             leaving,
+            missing = memberRemoval.missing,
+            heard = memberRemoval.heard(),
         )
 
     private inner class OwnershipChanges : OwnershipListener {
@@ -458,6 +477,7 @@
             } else {
                 ownerReports.forget(peer.instance)
             }
+            memberRemoval.onHeartbeat(peer.instance, heartbeat)
             val current = configuration ?: return
             if (heartbeat.configurationVersion < current.version) {
                 network.send(peer.instance, PeerMessage.Configuration(current))
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetSettings.kt
@@ -7,6 +7,7 @@
  * @property seeds peer addresses that are dialed at start, for the case that the store can't be reached.
  * @property perDomainOwnersFrom number of instances from which each failure domain has an owner of its own. A single
  *   owner is limited by its machine, which handles about 700 task starts per second.
+ * @property memberGoneMs silence after which an owner removes the registration of an instance, see [MemberRemoval].
  */
 public data class FleetSettings(
     val self: PeerMember,
@@ -16,4 +17,5 @@
     val dispatch: DispatchSettings = DispatchSettings(),
     val network: PeerNetworkSettings = PeerNetworkSettings(),
     val perDomainOwnersFrom: Int = 16,
+    val memberGoneMs: Long = MemberRemoval.GONE_MS,
 )
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetStore.kt
@@ -70,6 +70,9 @@
     /** Registers this incarnation and passes its number to [onNumber]; null if the store can't be reached. */
     public fun register(member: PeerMember, onNumber: (Long?) -> Unit)
 
+    /** Removes the row of this incarnation of [member], unless another one has registered. */
+    public fun removeMember(member: PeerMember, onResult: (isRemoved: Boolean) -> Unit)
+
     /** Reads the owner of each failure domain that has a record; null if the store can't be reached. */
     public fun readOwners(onOwners: (Map<String, VersionedOwner>?) -> Unit)
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -25,6 +25,8 @@
      * @property intervalMs time until the sender's next heartbeat, in milliseconds.
      * @property sentAtMs time on the sender's clock, see [PeerClock].
      * @property renewal the sender's open requests at the receiver; null if there are none.
+     * @property missing instances that the sender, an owner, has not heard for a while, see [MemberRemoval].
+     * @property heard instances that another owner misses and the sender hears.
      */
     @Serializable
     @SerialName("beat")
@@ -40,6 +42,8 @@
         val intervalMs: Long = 100,
         val sentAtMs: Long = 0,
         val renewal: Renewal? = null,
+        val missing: List<String> = emptyList(),
+        val heard: List<String> = emptyList(),
     ) : PeerMessage {
         /** The content of which a change is reported at once. */
         internal fun withoutLoads(): Heartbeat = copy(loadPercent = 0, ownerLoads = emptyMap())
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LateStoreResponseTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LateStoreResponseTest.kt
@@ -38,6 +38,8 @@
                 deliver { onResult(if (isStale) OwnerWriteResult.Conflict(found) else written) }
             }
 
+            override fun removeMember(member: PeerMember, onResult: (Boolean) -> Unit) = Unit
+
             override fun watchMembers(onMembers: (List<PeerMember>) -> Unit) = Unit
 
             override fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit) = Unit
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
@@ -12,7 +12,11 @@
  * Instances with their connections on loopback, an event loop each, and one store and one set of backend servers in
  * memory. Each failure domain has one backend server, whose runs last until they are stopped.
  */
-internal class LoopbackFleet(private val domains: List<String>, private val perDomainOwnersFrom: Int) : AutoCloseable {
+internal class LoopbackFleet(
+    private val domains: List<String>,
+    private val perDomainOwnersFrom: Int,
+    private val memberGoneMs: Long = MemberRemoval.GONE_MS,
+) : AutoCloseable {
     private val lock = Any()
     private val owners = HashMap<String, VersionedOwner>()
     private val members = ArrayList<PeerMember>()
@@ -44,6 +48,7 @@
                 seeds = emptyList(),
                 OwnershipSettings(tokenSuffix = instances.size.toLong()),
                 perDomainOwnersFrom = perDomainOwnersFrom,
+                memberGoneMs = memberGoneMs,
             ),
             group,
             Store(group),
@@ -95,6 +100,15 @@
     fun isRunning(job: JobId): Boolean =
         synchronized(lock) { running.values.any { runs -> runs.keys.any { it.job == job } } }
 
+    /** Numbers of the registered instances by their names. */
+    fun registered(): Map<String, Long> = synchronized(lock) { members.associate { it.instance to it.number } }
+
+    /** Removes the row of an instance, as an owner does that does not hear it. */
+    fun removeRow(instance: String) = synchronized(lock) {
+        members.removeIf { it.instance == instance }
+        memberWatches.forEach { it() }
+    }
+
     fun starts(job: JobId): Int = synchronized(lock) { startedJobs.count { it == job } }
 
     override fun close() = instances.forEach { it.stop() }
@@ -111,6 +125,12 @@
             memberWatches.forEach { it() }
         }
 
+        override fun removeMember(member: PeerMember, onResult: (Boolean) -> Unit) = synchronized(lock) {
+            val isRemoved = members.remove(member)
+            reply { onResult(isRemoved) }
+            memberWatches.forEach { it() }
+        }
+
         override fun readOwners(onOwners: (Map<String, VersionedOwner>?) -> Unit) = synchronized(lock) {
             val copy = owners.toMap()
             reply { onOwners(copy) }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnershipTest.kt
@@ -40,6 +40,8 @@
                 onResult(OwnerWriteResult.Written(versions))
             }
 
+            override fun removeMember(member: PeerMember, onResult: (Boolean) -> Unit) = Unit
+
             override fun watchMembers(onMembers: (List<PeerMember>) -> Unit) = Unit
 
             override fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit) = Unit
