--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -47,6 +47,10 @@
     private var leaving = false
     private var lastTickAtMs = 0L
     private var isMembershipKnown = false
+
+    /** Whether the store's list has contained the present registration of this instance. */
+    private var isListed = false
+    private val memberRemoval = MemberRemoval(settings.self, store, network::isAlive, log, settings.memberGoneMs)
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
     private val evacuation = EvacuationState(settings.failureDomains, clock, log)
@@ -138,9 +142,21 @@
 
     private fun onMembers(members: List<PeerMember>) {
         isMembershipKnown = true
+        memberRemoval.onMembers(members)
+        registerIfRemoved(members)
         network.setMembers(members.filter { it.instance != self.instance })
     }
 
+    /** An owner removes the row of an instance that it has not heard for long, such as one that was isolated. */
+    private fun registerIfRemoved(members: List<PeerMember>) {
+        val wasListed = isListed
+        isListed = members.any { it.instance == self.instance && it.number == self.number }
+        val isRemoved = wasListed && members.none { it.instance == self.instance }
+        if (!isRemoved || leaving) return
+        log.event("instance", "registration-removed", "number", self.number)
+        register()
+    }
+
     /** As without a configuration, this instance starts no task before it knows the evacuated failure domains. */
     private fun onConfiguration(next: DispatchConfiguration) {
         if (evacuation.current == null) {
@@ -208,6 +224,7 @@
                 }
             }
         }
+        memberRemoval.onTick(dispatcher.nowMs(), isOwner = ownership.owned.isNotEmpty())
         renewJobs()
         if (listing.removeExpired()) applyListing()
         ownerReports.informNewOwners()
@@ -298,6 +315,8 @@
             store.isReachable,
             leaving,
             evacuationVersion = evacuation.heartbeatVersion,
+            missing = memberRemoval.missing,
+            heard = memberRemoval.heard(),
         )
 
     private inner class OwnershipChanges : OwnershipListener {
@@ -493,6 +512,7 @@
             } else {
                 ownerReports.forget(peer.instance)
             }
+            memberRemoval.onHeartbeat(peer.instance, heartbeat)
             val current = configuration ?: return
             val isBehind = evacuation.shouldSend(peer.instance, heartbeat.evacuationVersion)
             if (isBehind || heartbeat.configurationVersion < current.version) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerMessage.kt
@@ -27,6 +27,8 @@
      * @property sentAtMs time on the sender's clock, see [PeerClock].
      * @property renewal the sender's open requests at the receiver; null if there are none.
      * @property evacuationVersion version of the sender's [EvacuatedDomains]; 0 if it has only known the empty set.
+     * @property missing instances that the sender, an owner, has not heard for a while, see [MemberRemoval].
+     * @property heard instances that another owner misses and the sender hears.
      */
     @Serializable
     @SerialName("beat")
@@ -43,6 +45,8 @@
         val sentAtMs: Long = 0,
         val renewal: Renewal? = null,
         val evacuationVersion: Long = 0,
+        val missing: List<String> = emptyList(),
+        val heard: List<String> = emptyList(),
     ) : PeerMessage {
         /** The content of which a change is reported at once. */
         internal fun withoutLoads(): Heartbeat = copy(loadPercent = 0, ownerLoads = emptyMap())
