Give returning backend servers a rising share of the work

Cause: a backend server that is cold, restarted, restored after an ejection or back after an evacuation got its full share of new tasks immediately.

Change: a limit on the cores in use at once, which rises from a quarter to the full capacity within dispatch.slowStartMs (2,000 ms, checked), or until the listed cold time (coldLeftMs) is over. Placement, admission and the reported load use the limited capacity; one task always fits. What an owner finds at its start or takeover is limited only if it is cold.

Ruled out: a limit that begins at zero. All jobs were refused after an evacuation, since the predicted capacity was zero.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendHealthSystem.kt
@@ -1,14 +1,20 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.slowstart.SlowStartSystem
+
 /** Ejects backend servers after consecutive failures and estimates the speed of each backend server. */
 internal class BackendHealthSystem(
     private val settings: DispatchSettings,
     private val tables: DispatchTables,
+    private val slowStart: SlowStartSystem,
     private val log: EventLog,
 ) {
-    fun recordSuccess(row: BackendRow, task: TaskRow, runMs: Double) {
+    fun recordSuccess(row: BackendRow, task: TaskRow, runMs: Double, nowMs: Long) {
         row.failuresInRow = 0
-        if (row.ejections > 0) log.event("backend", "restored", "backend", row.info.id, "ejections", row.ejections)
+        if (row.ejections > 0) {
+            log.event("backend", "restored", "backend", row.info.id, "ejections", row.ejections)
+            slowStart.onEjectionEnded(row, nowMs)
+        }
         row.ejections = 0
         val estimateMs = task.job.estimatesMs[task.key.step]
         val sample = (estimateMs / runMs.coerceAtLeast(1.0)).coerceIn(MIN_SPEED, MAX_SPEED)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendInfo.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendInfo.kt
@@ -9,6 +9,7 @@
  *   the previous one.
  * @property rack the rack that the backend server is in, one of the [labels]; null if unknown. A rack may lose power
  *   as a whole.
+ * @property coldLeftMs for how long it remains slow after its start, in milliseconds; 0 if it is not.
  * @property draining whether it is shutting down and accepts no new tasks.
  */
 @Serializable
@@ -23,6 +24,7 @@
     public val incarnation: Long,
     public val draining: Boolean,
     public val rack: String? = null,
+    public val coldLeftMs: Long = 0,
 ) {
     /** Whether [other] describes the same process; an unknown incarnation of [other] matches any. */
     public fun isSameProcess(other: BackendInfo): Boolean =
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/BackendListingSystem.kt
@@ -1,10 +1,13 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.slowstart.SlowStartSystem
+
 /** Keeps the table of backend servers in line with the list of those in the owned failure domains. */
 internal class BackendListingSystem(
     private val settings: DispatchSettings,
     private val tables: DispatchTables,
     private val losses: RunLossSystem,
+    private val slowStart: SlowStartSystem,
     private val log: EventLog,
 ) {
     fun update(listed: Collection<BackendInfo>, nowMs: Long) {
@@ -19,12 +22,14 @@
             val new = BackendRow(info, tables.runs.lease(info), BackendClock(settings.clockDrift))
             new.isEvacuated = info.failureDomain in tables.evacuated
             tables.backends[info.id] = new
+            slowStart.onCold(new, info.coldLeftMs, nowMs)
             return
         }
         if (info.incarnation != 0L && info.incarnation in row.formerIncarnations) return
         if (!info.isSameProcess(row.info)) {
             losses.onReplaced(row, "listed with another process", nowMs)
             row.replaceInfo(info)
+            slowStart.onCold(row, info.coldLeftMs, nowMs)
             return
         }
         if (info.draining != row.info.draining) {
@@ -39,6 +44,7 @@
         }
         row.info = if (info.incarnation == 0L) info.copy(incarnation = row.info.incarnation) else info
         row.isDescribed = true
+        slowStart.onCold(row, info.coldLeftMs, nowMs)
     }
 
     fun remove(row: BackendRow, nowMs: Long, isReleased: Boolean = false) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -105,7 +105,7 @@
         var placeable = 0
         for (row in tables.backends.values) {
             if (row.info.service != job.queue.service || !health.isUsable(row, nowMs)) continue
-            placeable += row.free.fitCount(step.demand).coerceAtMost(step.taskCount)
+            placeable += row.fitCount(step.demand, nowMs).coerceAtMost(step.taskCount)
             if (placeable >= step.taskCount) return 0.0
         }
         return 1 - placeable.toDouble() / step.taskCount
@@ -115,7 +115,7 @@
     private fun workRate(service: ServiceId, nowMs: Long): Double =
         tables.backends.values
             .filter { it.info.service == service && it.isServing(nowMs) }
-            .sumOf { it.info.capacity.cpuMillis * it.speed * PACKING_EFFICIENCY }
+            .sumOf { it.limitMillis(nowMs) * it.speed * PACKING_EFFICIENCY }
 
     private fun isServedBefore(other: JobRow, job: JobRow): Boolean =
         other.queue.service == job.queue.service && (other.everDispatched || other.latestStartMs <= job.latestStartMs)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -150,7 +150,7 @@
         var fastest: BackendRow? = null
         var fastestMs = Double.MAX_VALUE
         for (row in usable) {
-            if (!canRun(task, row) || !limits.mayStart(task.job, row, nowMs)) continue
+            if (!canRun(task, row, nowMs) || !limits.mayStart(task.job, row, nowMs)) continue
             val runMs = estimateMs / row.speed * rackFactor(task.step, row.info)
             // Skip backend servers that would make the job late as long as it can end in time on one of speed 1.
             if (runMs > allowedMs && estimateMs <= allowedMs) continue
@@ -168,11 +168,12 @@
         return slowest ?: fastest
     }
 
-    private fun canRun(task: TaskRow, row: BackendRow): Boolean {
+    private fun canRun(task: TaskRow, row: BackendRow, nowMs: Long): Boolean {
         val step = task.step
         // A task that was placed earlier in this pass may have started the probe or have the backend server reserved.
         val isServing = row.info.service == task.job.queue.service && !row.isBeingProbed && row.reservedFor == null
         if (!isServing || !row.hasLabel(step.requiredLabel) || !step.demand.fitsInto(row.free)) return false
+        if (row.isLimited(step.demand, nowMs)) return false
         // A run of an earlier attempt at the job uses its capacity until its end is listed.
         return task.key !in row.tasks && row !in task.failedOn && isBelowLimit(task, row)
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchReplies.kt
@@ -184,7 +184,7 @@
     }
 
     private fun onRunDone(row: BackendRow, task: TaskRow, nowMs: Long) {
-        if (!task.isAdopted) health.recordSuccess(row, task, (nowMs - task.dispatchedAtMs).toDouble())
+        if (!task.isAdopted) health.recordSuccess(row, task, (nowMs - task.dispatchedAtMs).toDouble(), nowMs)
         completeTask(task, nowMs)
     }
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -45,6 +45,9 @@
  *   they are busy.
  * @property historyRetentionMs how long the history of a task is kept after its last change and the end of its job;
  *   longer than a caller repeats a job.
+ * @property slowStartMs how long a backend server gets a rising share of the work after its failure domain was
+ *   evacuated, after a restart or an ejection; not after its listed cold time, which has its own end. About two of the
+ *   longest usual tasks, so that the first ones have ended before it gets its full share.
  * @property maxOpenJobs maximum number of open jobs; bounds memory.
  */
 public data class DispatchSettings(
@@ -74,6 +77,7 @@
     val crashConfirmationMs: Long = 300,
     val isolationShare: Double = 0.25,
     val historyRetentionMs: Long = 60_000,
+    val slowStartMs: Long = 2_000,
 ) {
     /** Longest lease that an owner grants; it does so to a backend server without runs. */
     internal val longestLeaseMs: Long get() = leaseMs + (idlePollWaitMs - pollWaitMs).coerceAtLeast(0)
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -1,5 +1,7 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.slowstart.CoreLimit
+
 /** State of a task. */
 internal enum class TaskState {
     /** Waits for earlier steps. */
@@ -263,6 +265,30 @@
     /** Whether its failure domain is evacuated: it starts no new tasks, and those that run there may end. */
     var isEvacuated = false
 
+    /** Limits the cores in use after it has begun or returned to service; null if it was never limited. */
+    var coreLimit: CoreLimit? = null
+
+    /** Incarnation that was last listed as cold. */
+    var coldIncarnation = NEVER_MS
+
+    private val usedMillis: Int get() = info.capacity.cpuMillis - free.cpuMillis
+
+    /** Cores that may be in use at once, in thousandths. */
+    fun limitMillis(nowMs: Long): Int =
+        coreLimit?.limitMillis(info.capacity.cpuMillis, nowMs)?.coerceAtLeast(usedMillis) ?: info.capacity.cpuMillis
+
+    /** Whether the limit on its cores leaves no room for another task of [demand]. One task always fits. */
+    fun isLimited(demand: Resources, nowMs: Long): Boolean =
+        coreLimit != null && tasks.isNotEmpty() && usedMillis + demand.cpuMillis > limitMillis(nowMs)
+
+    /** How many tasks of [demand] can be started in addition. */
+    fun fitCount(demand: Resources, nowMs: Long): Int {
+        val count = free.fitCount(demand)
+        if (coreLimit == null || demand.cpuMillis == 0) return count
+        val underLimit = (limitMillis(nowMs) - usedMillis) / demand.cpuMillis
+        return minOf(count, maxOf(underLimit, if (tasks.isEmpty()) 1 else 0))
+    }
+
     /** Whether it contributes to the capacity: neither draining, evacuated, unreachable nor ejected. */
     fun isServing(nowMs: Long): Boolean =
         !info.draining && !isEvacuated && !isUnreachable && !isDisplaced && ejectedUntilMs <= nowMs
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -1,6 +1,7 @@
 package medlarroute.dispatch
 
 import medlarroute.dispatch.evacuation.EvacuationSystem
+import medlarroute.dispatch.slowstart.SlowStartSystem
 import kotlin.time.TimeSource
 
 /**
@@ -23,18 +24,19 @@
     internal val openJobSystem = OpenJobSystem(settings, elapsed, tables, ends, actions, log)
 
     private val takeover = TakeoverSystem(settings, tables)
-    private val health = BackendHealthSystem(settings, tables, log)
+    private val slowStart = SlowStartSystem(settings, log)
+    private val health = BackendHealthSystem(settings, tables, slowStart, log)
     private val isolation = IsolationSystem(settings, tables, health, log)
     private val crashes = CrashSystem(settings, tables, actions, log)
     private val limits = LeaseLimits(settings, tables)
     private val placement = DispatchPlacement(
         settings, tables, actions, takeover, health, isolation, limits, openJobSystem, log,
     )
-    private val losses = RunLossSystem(settings, tables, ends, crashes, placement, log)
-    private val listing = BackendListingSystem(settings, tables, losses, log)
+    private val losses = RunLossSystem(settings, tables, ends, crashes, placement, slowStart, log)
+    private val listing = BackendListingSystem(settings, tables, losses, slowStart, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
-    internal val evacuation = EvacuationSystem(tables, openJobSystem, ends)
+    internal val evacuation = EvacuationSystem(tables, openJobSystem, ends, slowStart)
     private val polls = BackendPollSystem(settings, tables, actions, limits, log)
     private var tickedAtMs = 0L
 
@@ -47,13 +49,19 @@
     public fun loadPercent(): Int {
         val nowMs = nowMs()
         val serving = tables.backends.values.filter { it.isServing(nowMs) }
-        val capacityMillis = serving.sumOf { it.info.capacity.cpuMillis.toLong() }
+        val capacityMillis = serving.sumOf { it.limitMillis(nowMs).toLong() }
         if (capacityMillis == 0L) return FULL_PERCENT
         val runningMillis = serving.sumOf { (it.info.capacity.cpuMillis - it.free.cpuMillis).toLong() }
         val waitingMillis = tables.waiting.sumOf { it.queuedCpuMillis() }
         return ((runningMillis + waitingMillis) * FULL_PERCENT / capacityMillis).toInt()
     }
 
+    /** Number of backend servers that get a rising share of the work. */
+    public val slowStarts: Int get() {
+        val nowMs = nowMs()
+        return tables.backends.values.count { it.coreLimit?.isOver(nowMs) == false }
+    }
+
     /** What is known of tasks that may crash backend servers or have failed. */
     public val histories: List<TaskHistory> get() = tables.histories.all
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup
 import medlarroute.dispatch.evacuation.EvacuatedDomains
 import medlarroute.dispatch.evacuation.EvacuationState
+import medlarroute.dispatch.slowstart.differOnlyInColdTime
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
@@ -84,6 +85,9 @@
     public val evacuatedDomains: Int get() = evacuation.active.size
     public val startsAvoided: Long get() = dispatcher.evacuation.startsAvoided
 
+    /** Number of backend servers under this instance's ownership that get a rising share of the work. */
+    public val slowStarts: Int get() = dispatcher.slowStarts
+
     /** Whether this instance can accept jobs now. */
     public val isReady: Boolean
         get() = !leaving && configuration != null && ownerClient.ownerOrNull() != null &&
@@ -166,7 +170,7 @@
 
     private fun onEvacuated(next: EvacuatedDomains, source: String) {
         if (!evacuation.offer(next, source)) return
-        dispatcher.evacuation.evacuate(evacuation.active)
+        dispatcher.evacuation.evacuate(evacuation.active, dispatcher.nowMs())
         pendingConfiguration?.let(::onConfiguration)
         pendingConfiguration = null
         moveEvacuatedJobs()
@@ -235,7 +239,7 @@
 
     private fun onBackends(list: BackendList) {
         val before = listing.backends
-        if (takeList(list, "store") && listing.backends != before) sendBackends()
+        if (takeList(list, "store") && !differOnlyInColdTime(before, listing.backends)) sendBackends()
     }
 
     private fun takeList(list: BackendList, source: String): Boolean {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/RunLossSystem.kt
@@ -1,5 +1,7 @@
 package medlarroute.dispatch
 
+import medlarroute.dispatch.slowstart.SlowStartSystem
+
 /**
  * Queues the tasks of lost backend servers again: at the end of the lease if the backend server is silent, at once if
  * it is no longer listed or runs as another process. [ActiveRunTable] decides when they may start.
@@ -10,6 +12,7 @@
     private val ends: JobEndSystem,
     private val crashes: CrashSystem,
     private val placement: DispatchPlacement,
+    private val slowStart: SlowStartSystem,
     private val log: EventLog,
 ) {
     /** Time at which another instance was last lost. */
@@ -53,6 +56,7 @@
     fun onReplaced(row: BackendRow, reason: String, nowMs: Long) {
         log.event("backend", "replaced", "backend", row.info.id, "reason", reason, "tasks", row.tasks.size)
         logInterrupted(row, "REPLACED")
+        slowStart.onReplaced(row, nowMs)
         if (row.info.incarnation != 0L) row.formerIncarnations += row.info.incarnation
         crashes.recordCrash(row, CrashEvidence.REPLACED, nowMs)
         row.lapsedRuns = emptyMap()
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/evacuation/EvacuationSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/evacuation/EvacuationSystem.kt
@@ -6,6 +6,7 @@
 import medlarroute.dispatch.JobRow
 import medlarroute.dispatch.NotRunCode
 import medlarroute.dispatch.OpenJobSystem
+import medlarroute.dispatch.slowstart.SlowStartSystem
 
 /**
  * What an owner does in evacuated failure domains.
@@ -17,6 +18,7 @@
     private val tables: DispatchTables,
     private val openJobs: OpenJobSystem,
     private val ends: JobEndSystem,
+    private val slowStart: SlowStartSystem,
 ) {
     private var turn = 0
 
@@ -26,9 +28,13 @@
     val isNeeded: Boolean get() = tables.areAllEvacuated && tables.jobs.isNotEmpty()
 
     /** Replaces the set of evacuated failure domains. */
-    fun evacuate(domains: Set<String>) {
+    fun evacuate(domains: Set<String>, nowMs: Long) {
         tables.evacuated = domains
-        tables.backends.values.forEach { it.isEvacuated = it.info.failureDomain in domains }
+        for (row in tables.backends.values) {
+            val wasEvacuated = row.isEvacuated
+            row.isEvacuated = row.info.failureDomain in domains
+            if (wasEvacuated && !row.isEvacuated) slowStart.onEvacuationEnded(row, nowMs)
+        }
     }
 
     /**
