--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -46,6 +46,9 @@
  * @property historyRetentionMs how long the history of a task is kept after its last change and the end of its job;
  *   longer than a caller repeats a job.
  * @property farRackFactor how many times as long a task runs on a rack other than the one that holds its data.
+ * @property slowStartMs how long a backend server gets a rising share of the work after its failure domain was
+ *   evacuated, after a restart or an ejection; not after its listed cold time, which has its own end. About two of the
+ *   longest usual tasks, so that the first ones have ended before it gets its full share; 0 for none.
  * @property maxOpenJobs maximum number of open jobs; bounds memory.
  */
 public data class DispatchSettings(
@@ -76,6 +79,7 @@
     val isolationShare: Double = 0.25,
     val historyRetentionMs: Long = 60_000,
     val farRackFactor: Double = 2.0,
+    val slowStartMs: Long = 0,
 ) {
     /** How many times as long a task of [step] is expected to run on [backend] as it would on its preferred rack. */
     internal fun rackFactor(step: StepRequest, backend: BackendInfo): Double =
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/FarRackTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/FarRackTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import medlarroute.dispatch.reservations.BackendReservations
+import medlarroute.dispatch.slowstart.SlowStartSystem
 import org.junit.jupiter.api.Test
 
 /** Predictions for tasks on a rack other than the one that holds their data. */
@@ -47,7 +48,7 @@
         val settings = DispatchSettings(farRackFactor = 3.0)
         val log = EventLog { _, _, _ -> }
         val tables = DispatchTables(settings.historyRetentionMs, BackendReservations(log))
-        val health = BackendHealthSystem(settings, tables, log)
+        val health = BackendHealthSystem(settings, tables, SlowStartSystem(settings, log), log)
         val step = StepRequest(1, Resources(1_000, 64, 0), 50, preferredRack = "r1")
         val job = JobRow(JobRequest(JobId("j"), QueueId("q"), "", listOf(step)), SimulatedBackends.queue(), 0, 3_000)
         job.estimatesMs[0] = 50.0
@@ -57,7 +58,7 @@
                 BackendLease("far", "d1"),
                 BackendClock(settings.clockDrift),
             )
-        repeat(20) { health.recordSuccess(row, job.tasks[0][0], runMs = 150.0) }
+        repeat(20) { health.recordSuccess(row, job.tasks[0][0], runMs = 150.0, nowMs = 0) }
         row.speed shouldBe 1.0
         val predictedMs = tables.runTimes.getValue(QueueId("q")).predictMs(declaredMs = 0)
         predictedMs shouldBeGreaterThan 49.0
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/MemberRemovalTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/MemberRemovalTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import medlarroute.dispatch.evacuation.EvacuatedDomains
 import org.junit.jupiter.api.Test
 
 /** Rows of instances that are gone for good are removed by an owner; those of others stay. */
@@ -26,7 +27,10 @@
 
         override fun watchMembers(onMembers: (List<PeerMember>) -> Unit) = Unit
 
-        override fun watchConfiguration(onConfiguration: (DispatchConfiguration) -> Unit) = Unit
+        override fun watchConfiguration(
+            onConfiguration: (DispatchConfiguration) -> Unit,
+            onEvacuated: (EvacuatedDomains) -> Unit,
+        ) = Unit
 
         override fun watchBackends(enabled: Boolean, onBackends: (BackendList) -> Unit) = Unit
     }
