Send the heartbeats of followers at the announced interval, with one timer less

Cause: a heartbeat was due at the last tick before its interval passed. Ticks of 100 ms are in fact 101 to 102 ms apart, so an instance that owns nothing sent one each tick and not each 200 ms, and those of 1,000 ms came each 910 ms. Heartbeats and ownership had a timer each, with 30 wake-ups a second.

Change: a heartbeat is sent at the tick nearest to its interval; peers tolerate more than twice that. To partners, whose leases depend on recent renewals, they are sent as before. The two timers are one; an exception in the one action does not prevent the other. The content of a heartbeat is gathered once per tick, and encoded only if one is due.

The new test fails without the change: 10 heartbeats in 10 ticks of 102 ms.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -41,6 +41,7 @@
     private val listing = BackendListing(clock)
     private var leaving = false
     private var lastTickAtMs = 0L
+    private var ticks = 0L
     private var isMembershipKnown = false
     private var dispatchTicks: Future<*>? = null
     private val ownerClient = OwnerRouter()
@@ -87,8 +88,13 @@
             store.watchMembers(::onMembers)
             settings.seeds.forEach { (host, port) -> if (host != self.host) network.dialAddress(host, port) }
         }
-        scheduleEvery(settings.network.heartbeatIntervalMs) { network.tick() }
-        scheduleEvery(OWNERSHIP_TICK_MS) { ownershipTick() }
+        scheduleEvery(OWNERSHIP_TICK_MS) { tick() }
+    }
+
+    /** One timer for both ticks saves wake-ups. */
+    private fun tick() {
+        if (ticks++ % (settings.network.heartbeatIntervalMs / OWNERSHIP_TICK_MS) == 0L) guarded { network.tick() }
+        ownershipTick()
     }
 
     /** Runs the timer of the dispatcher only while this instance owns a failure domain, which avoids idle wake-ups. */
@@ -102,15 +108,15 @@
         }
     }
 
-    private fun scheduleEvery(periodMs: Long, action: () -> Unit): Future<*> {
-        val guarded = Runnable {
-            try {
-                action()
-            } catch (e: RuntimeException) {
-                log.event("instance", "tick-failed", "error", e.toString(), "at", e.stackTrace.firstOrNull())
-            }
+    private fun scheduleEvery(periodMs: Long, action: () -> Unit): Future<*> =
+        group.next().scheduleWithFixedDelay({ guarded(action) }, periodMs, periodMs, TimeUnit.MILLISECONDS)
+
+    private fun guarded(action: () -> Unit) {
+        try {
+            action()
+        } catch (e: RuntimeException) {
+            log.event("instance", "tick-failed", "error", e.toString(), "at", e.stackTrace.firstOrNull())
         }
-        return group.next().scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS)
     }
 
     private fun register() {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/PeerNetwork.kt
@@ -189,7 +189,7 @@
     }
 
     /** Sends a heartbeat to all peers now. */
-    public fun sendHeartbeatNow(): Unit = sendHeartbeats(isDue = { _, _ -> true })
+    public fun sendHeartbeatNow(): Unit = sendHeartbeats(listener.heartbeat(), isDue = { _, _, _ -> true })
 
     /** Sends a heartbeat to [instance] now, since it needs the time or the renewal in it. */
     public fun sendHeartbeatNow(instance: String) {
@@ -198,22 +198,29 @@
         sendHeartbeat(peer, intervalMs, EncodedHeartbeats(sentHeartbeat))
     }
 
-    private fun sendHeartbeats(isDue: (Peer, Long) -> Boolean) {
-        sentHeartbeat = listener.heartbeat()
+    private fun sendHeartbeats(
+        heartbeat: PeerMessage.Heartbeat,
+        isDue: (peer: Peer, intervalMs: Long, isPartner: Boolean) -> Boolean,
+    ) {
+        sentHeartbeat = heartbeat
         val partners = listener.partners()
-        val encoded = EncodedHeartbeats(sentHeartbeat)
+        val encoded by lazy(LazyThreadSafetyMode.NONE) { EncodedHeartbeats(sentHeartbeat) }
         for (peer in peers.values) {
+            if (peer.channel == null) continue
             val intervalMs = heartbeatIntervalMs(peer, sentHeartbeat, partners)
-            if (isDue(peer, intervalMs)) sendHeartbeat(peer, intervalMs, encoded)
+            if (isDue(peer, intervalMs, peer.member.instance in partners)) sendHeartbeat(peer, intervalMs, encoded)
         }
     }
 
     private fun sendDueHeartbeats(nowMs: Long) {
-        val hasChanged = listener.heartbeat().withoutLoads() != sentHeartbeat.withoutLoads()
-        sendHeartbeats { peer, intervalMs ->
-            // The peer expects the next heartbeat within the interval announced by the last one.
-            val dueAfterMs = minOf(intervalMs, peer.announcedIntervalMs) - settings.heartbeatIntervalMs
-            hasChanged || nowMs - peer.heartbeatSentAtMs > dueAfterMs
+        val heartbeat = listener.heartbeat()
+        val hasChanged = heartbeat.withoutLoads() != sentHeartbeat.withoutLoads()
+        sendHeartbeats(heartbeat) { peer, intervalMs, isPartner ->
+            // Ticks are a little more than the shortest interval apart. A heartbeat is sent at the tick that is nearest
+            // to the announced interval, since the peer tolerates more than twice that; those with renewals, or whose
+            // loss delays jobs, are sent before the interval has passed.
+            val earlyMs = if (isPartner) settings.heartbeatIntervalMs else settings.heartbeatIntervalMs / 2
+            hasChanged || nowMs - peer.heartbeatSentAtMs > minOf(intervalMs, peer.announcedIntervalMs) - earlyMs
         }
     }
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/PeerNetworkTest.kt
@@ -68,12 +68,16 @@
     }
 
     /**
-     * Advances the clock by [ticks] heartbeat intervals; [peers] receive each other's messages before the next
-     * interval.
+     * Advances the clock by [ticks] of [tickMs], by default heartbeat intervals; [peers] receive each other's messages
+     * before the next one.
      */
-    private fun advance(ticks: Int, vararg peers: Peer) = repeat(ticks) {
+    private fun advance(
+        ticks: Int,
+        vararg peers: Peer,
+        tickMs: Long = PeerNetworkSettings().heartbeatIntervalMs,
+    ) = repeat(ticks) {
         onLoop {
-            clock += PeerNetworkSettings().heartbeatIntervalMs.milliseconds
+            clock += tickMs.milliseconds
             peers.forEach { it.network.tick() }
         }
         // When the probes have arrived, all messages sent before them have arrived, too. Unlike a message to one peer,
@@ -178,6 +182,23 @@
         owner.stateOf(follower) shouldBe PeerState.ALIVE
     }
 
+    /** Guards against heartbeats twice as often as announced, since a real timer is always a little late. */
+    @Test
+    fun `ticks that are slightly late do not double the heartbeats of a follower`() {
+        val owner = Peer("a", 1).apply { heartbeat = heartbeat.copy(owned = mapOf("d" to 1L)) }
+        val follower = Peer("b", 2)
+        connect(owner, follower, others = 13)
+        val fromFollower = owner.heartbeatsFrom(follower)
+        advance(ticks = 10, owner, follower, tickMs = LATE_TICK_MS)
+        owner.heartbeatsFrom(follower) - fromFollower shouldBeInRange 5..6
+        owner.stateOf(follower) shouldBe PeerState.ALIVE
+        // A partner needs a recent renewal in each interval.
+        onLoop { follower.partners = setOf("a") }
+        val fromPartner = owner.heartbeatsFrom(follower)
+        advance(ticks = 10, owner, follower, tickMs = LATE_TICK_MS)
+        owner.heartbeatsFrom(follower) - fromPartner shouldBeInRange 9..11
+    }
+
     /**
      * Guards against heartbeats whose number at an owner grows with the whole deployment, not only with its failure
      * domain.
@@ -325,6 +346,8 @@
     }
 
     private companion object {
+        /** A timer of 100 ms that is late by the time of its action and by the rounding to milliseconds. */
+        const val LATE_TICK_MS = 102L
         const val WAIT_S = 20L
 
         /** More than an instance that owns nothing may stay silent, and less than an instance of the long interval. */
