--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -47,6 +47,8 @@
     private val listing = BackendListing(clock)
     private var leaving = false
     private var lastTickAtMs = 0L
+    private var ticks = 0L
+    private val networkTick = guardedTimer(log, exit) { network.tick() }
     private var isMembershipKnown = false
 
     /** Whether the store's list has contained the present registration of this instance. */
@@ -112,8 +114,13 @@
             store.watchMembers(::onMembers)
             settings.seeds.forEach { (host, port) -> if (host != self.host) network.dialAddress(host, port) }
         }
-        scheduleEvery(settings.network.heartbeatIntervalMs) { network.tick() }
-        scheduleEvery(OWNERSHIP_TICK_MS) { ownershipTick() }
+        scheduleEvery(OWNERSHIP_TICK_MS) { tick() }
+    }
+
+    /** One timer for both ticks saves wake-ups. */
+    private fun tick() {
+        if (ticks++ % (settings.network.heartbeatIntervalMs / OWNERSHIP_TICK_MS) == 0L) networkTick.run()
+        ownershipTick()
     }
 
     /** Runs the timer of the dispatcher only while this instance owns a failure domain, which avoids idle wake-ups. */
