--- a/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationFleetTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationFleetTest.kt
@@ -1,14 +1,18 @@
 package medlarroute.dispatch.evacuation
 
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import medlarroute.dispatch.JobId
 import medlarroute.dispatch.JobRequest
+import medlarroute.dispatch.JobResult
 import medlarroute.dispatch.LoopbackFleet
 import medlarroute.dispatch.QueueId
 import medlarroute.dispatch.Resources
 import medlarroute.dispatch.StepRequest
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import java.util.concurrent.TimeUnit
 
 /** Evacuations with connected instances, an owner per failure domain. */
 class EvacuationFleetTest {
@@ -73,7 +77,23 @@
         fleet.awaitReady()
     }
 
+    /** Guards against callers that wait until their deadline, and instances that are taken from the load balancer. */
+    @Test
+    fun `if all failure domains are evacuated jobs are refused with a retry time and instances stay ready`() {
+        val first = fleet.add("i1", "d1")
+        fleet.add("i2", "d2")
+        fleet.awaitReady()
+        fleet.evacuate("d1", "d2")
+        fleet.await { fleet.instances.all { it.evacuatedDomains == 2 } }
+        val refusal = first.submit(job("j")).get(REFUSAL_MS, TimeUnit.MILLISECONDS)
+        refusal.shouldBeInstanceOf<JobResult.NotRun>().retryAfterMs.shouldNotBeNull()
+        fleet.instances.all { it.isReady } shouldBe true
+    }
+
     private companion object {
+        /** Well below the caller's timeout of 10 s, on a busy machine. */
+        const val REFUSAL_MS = 2_000L
+
         /** The longest lease is 1,000 ms. */
         const val SEVERAL_LEASES_MS = 2_500L
     }
