Give each failure domain its own owner in the tests of evacuation

Cause: with two instances and perDomainOwnersFrom = 2 a single instance owns both failure domains, since an instance does not count itself. The first job then ran in either, and the test waited in vain when it ran in d2 (once, at a load of 25). Change: perDomainOwnersFrom = 1, and the test waits until each failure domain has an owner of its own. The checks are the same.

--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
@@ -127,6 +127,12 @@
         memberWatches.forEach { it() }
     }
 
+    /** Waits until each failure domain has an owner of its own, as the store records. */
+    fun awaitOwnerPerDomain() = await {
+        synchronized(lock) { domains.map { owners[it]?.record?.owner.orEmpty() } }
+            .let { names -> names.none { it.isEmpty() } && names.toSet().size == domains.size }
+    }
+
     fun starts(job: JobId): Int = synchronized(lock) { startedJobs.count { it == job } }
 
     override fun close() = instances.forEach { it.stop() }
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationFleetTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationFleetTest.kt
@@ -16,7 +16,7 @@
 
 /** Evacuations with connected instances, an owner per failure domain. */
 class EvacuationFleetTest {
-    private val fleet = LoopbackFleet(listOf("d1", "d2"), perDomainOwnersFrom = 2)
+    private val fleet = LoopbackFleet(listOf("d1", "d2"), perDomainOwnersFrom = 1)
 
     @AfterEach
     fun close() = fleet.close()
@@ -29,6 +29,7 @@
         val first = fleet.add("i1", "d1")
         fleet.add("i2", "d2")
         fleet.awaitReady()
+        fleet.awaitOwnerPerDomain()
         first.submit(job("before"))
         fleet.await { fleet.isRunningIn("d1", JobId("before")) }
         fleet.evacuate("d1")
