Compare serving orders in bursts at scarce capacity

The serving order is now a comparator of the dispatcher's tables, used by placement and admission, so that the tests can run first come first served, earliest latest start, strict priority and weighted fair queueing beside the present order. At an equal latest start admission now also goes by priority, as placement did.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -118,7 +118,7 @@
             .sumOf { it.info.capacity.cpuMillis * it.speed * PACKING_EFFICIENCY }
 
     private fun isServedBefore(other: JobRow, job: JobRow): Boolean =
-        other.queue.service == job.queue.service && (other.everDispatched || other.latestStartMs <= job.latestStartMs)
+        other.queue.service == job.queue.service && tables.servingOrder.compare(other, job) <= 0
 
     private fun refused(request: JobRequest, code: NotRunCode, reason: String, retryAfterMs: Long?): AdmissionDecision {
         log.event(
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -48,7 +48,7 @@
         tables.backends.values.filterTo(usable) { health.isUsable(it, nowMs) }
         if (usable.isNotEmpty() || tables.reservations.size > 0) {
             if (tables.waitingIsDirty) {
-                tables.waiting.sortWith(SERVING_ORDER)
+                tables.waiting.sortWith(tables.servingOrder)
                 tables.waitingIsDirty = false
             }
             pass(nowMs, late = false)
@@ -224,8 +224,5 @@
     private companion object {
         /** Run times vary around the estimate with a spread of about 0.4; one in ten exceeds it by this factor. */
         const val ESTIMATE_MARGIN = 1.5
-        val SERVING_ORDER = compareByDescending<JobRow> { it.everDispatched }
-            .thenBy { it.latestStartMs }
-            .thenBy { it.queue.priority }
     }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchTables.kt
@@ -314,7 +314,12 @@
     val histories = TaskHistoryTable(historyRetentionMs)
     val jobs = LinkedHashMap<JobId, JobRow>()
 
-    /** Jobs with queued tasks, in serving order unless [waitingIsDirty]. */
+    /** Jobs that have begun first, then by their latest start, then by priority. */
+    var servingOrder: Comparator<JobRow> = compareByDescending<JobRow> { it.everDispatched }
+        .thenBy { it.latestStartMs }
+        .thenBy { it.queue.priority }
+
+    /** Jobs with queued tasks, in [servingOrder] unless [waitingIsDirty]. */
     val waiting = ArrayList<JobRow>()
     val backends = LinkedHashMap<String, BackendRow>()
 
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -35,6 +35,9 @@
     private val listing = BackendListingSystem(settings, tables, losses, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
+
+    /** Order in which queued jobs are served, for comparisons. */
+    internal var servingOrder: Comparator<JobRow> by tables::servingOrder
     internal val evacuation = EvacuationSystem(tables, openJobSystem, ends)
     private val polls = BackendPollSystem(settings, tables, actions, limits, log)
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LoadPattern.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LoadPattern.kt
@@ -53,17 +53,22 @@
     private val amplitude: Double = 0.55,
     private val seed: Int = 1,
     private val deployment: SimulatedDeployment = SimulatedDeployment(KINDS, backends = 32),
+    settings: DispatchSettings = DispatchSettings(),
     private val setUp: SimulatedBackends.() -> Unit = {},
 ) {
     val kinds = deployment.kinds
     private val random = Random(seed)
-    val sim = SimulatedBackends()
+    val sim = SimulatedBackends(settings = settings)
     private val works = HashMap<TaskKey, Long>()
     private val objectives = HashMap<JobId, Long>()
     private val submittedAt = HashMap<JobId, Long>()
     private val kindOf = HashMap<JobId, JobKind>()
+    private val widthOf = HashMap<JobId, Int>()
     val results = LinkedHashMap<String, KindResult>()
 
+    /** The same for the widest tenth of the jobs of each kind. */
+    val widestResults = LinkedHashMap<String, KindResult>()
+
     /** Earned value as a fraction of the value of all submitted jobs. */
     var earned = 0.0
         private set
@@ -120,6 +125,7 @@
         val cpu = (mean * (1 + 0.2 * gaussian())).toInt().coerceIn(mean / 3, mean * 3 / 2)
         val job = sim.job(id, width, cpu, kind.queue, spread(jobMs).toLong().coerceAtLeast(1))
         kindOf[job.id] = kind
+        widthOf[job.id] = width
         submittedAt[job.id] = sim.nowMs
         objectives[job.id] = (1.6 * longestMs + 60).toLong()
         sim.submit(job, timeoutMs = maxOf(2_000, 3 * objectives.getValue(job.id)))
@@ -129,17 +135,22 @@
         var submittedValue = 0.0
         for (kind in kinds) {
             val jobs = kindOf.filterValues { it === kind }.keys
-            val inTime = jobs.filter { isWithin(it, 1) }
-            val late = jobs.filter { !isWithin(it, 1) && isWithin(it, 3) }
-            val refused = jobs.count { sim.results[it] is JobResult.NotRun }
+            val result = resultOf(jobs)
             submittedValue += jobs.size * kind.value
-            earned += (inTime.size + late.size * 0.2) * kind.value
-            results[kind.queue] =
-                KindResult(jobs.size, inTime.size, late.size, refused, jobs.size - inTime.size - late.size - refused)
+            earned += (result.inTime + result.late * 0.2) * kind.value
+            results[kind.queue] = result
+            widestResults[kind.queue] = resultOf(jobs.sortedByDescending { widthOf[it] }.take(jobs.size / WIDEST_PART))
         }
         earned /= submittedValue
     }
 
+    private fun resultOf(jobs: Collection<JobId>): KindResult {
+        val inTime = jobs.count { isWithin(it, 1) }
+        val late = jobs.count { !isWithin(it, 1) && isWithin(it, 3) }
+        val refused = jobs.count { sim.results[it] is JobResult.NotRun }
+        return KindResult(jobs.size, inTime, late, refused, jobs.size - inTime - late - refused)
+    }
+
     private fun isWithin(job: JobId, times: Int): Boolean {
         if (sim.results[job] != JobResult.Complete) return false
         return sim.resultAtMs.getValue(job) - submittedAt.getValue(job) <= times * objectives.getValue(job)
@@ -162,6 +173,7 @@
             JobKind("tally", priority = 1, perSecond = 61.6, tasks = 2, workMs = 170.0, value = 0.01),
         )
         const val LARGE_EVERY = 3
+        const val WIDEST_PART = 10
         const val RATE_PERIOD_MS = 13_000.0
         const val SPREAD = 0.4
         const val UNEVEN = 0.15
