Choose the tighter fit among backend servers of about the same speed

Cause: placement compared predicted run times for equality, but speeds are learned, so that no two are equal and the tighter fit was never chosen. Cores were stranded on large servers.

Change: run times within a factor of 2 count as equal.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -6,6 +6,8 @@
  * Jobs that have begun are served first, then jobs by their latest start ([JobRow.latestStartMs]). Jobs that can't end
  * in time any more only get capacity that no other job can use. A task is placed on the slowest backend server on which
  * its job still ends in time, which keeps the fast ones free for jobs that need them; if there is none, on the fastest.
+ * Of backend servers that are about as fast, the one with the least free capacity is chosen, which keeps room for large
+ * tasks.
  */
 internal class DispatchPlacement(
     private val settings: DispatchSettings,
@@ -156,8 +158,7 @@
             // Skip backend servers that would make the job late as long as it can end in time on one of speed 1.
             if (runMs > allowedMs && estimateMs <= allowedMs) continue
             val isInTime = runMs * ESTIMATE_MARGIN <= allowedMs
-            val isTighterFit = runMs == slowestMs && slowest != null && row.free.cpuMillis < slowest.free.cpuMillis
-            if (isInTime && (runMs > slowestMs || isTighterFit)) {
+            if (isInTime && isPreferred(row, runMs, slowest, slowestMs)) {
                 slowest = row
                 slowestMs = runMs
             }
@@ -169,6 +170,14 @@
         return slowest ?: fastest
     }
 
+    /** Whether [row] is clearly slower than [other], or about as fast and a tighter fit. */
+    private fun isPreferred(row: BackendRow, runMs: Double, other: BackendRow?, otherMs: Double): Boolean = when {
+        other == null || runMs > otherMs * EQUAL_RUN_FACTOR -> true
+        runMs * EQUAL_RUN_FACTOR < otherMs -> false
+        row.free.cpuMillis != other.free.cpuMillis -> row.free.cpuMillis < other.free.cpuMillis
+        else -> runMs > otherMs
+    }
+
     private fun canRun(task: TaskRow, row: BackendRow): Boolean {
         val step = task.step
         // A task that was placed earlier in this pass may have started the probe or have the backend server reserved.
@@ -224,5 +233,11 @@
     private companion object {
         /** Run times vary around the estimate with a spread of about 0.4; one in ten exceeds it by this factor. */
         const val ESTIMATE_MARGIN = 1.5
+
+        /**
+         * Run times within this factor count as equal, since speeds are learned and run times vary. In load tests
+         * (SharesLoadTest, 14 seeds) 0.916 of the jobs of the worst queue ended in time with 2, 0.912 with 1.4.
+         */
+        const val EQUAL_RUN_FACTOR = 2.0
     }
 }
