--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -37,6 +37,9 @@
     private val listing = BackendListingSystem(settings, tables, losses, slowStart, log)
     private val admission = DispatchAdmission(settings, tables, health, log)
     private val replies = DispatchReplies(settings, tables, actions, ends, health, crashes, losses, placement, log)
+
+    /** Order in which queued jobs are served, for comparisons. */
+    internal var servingOrder: Comparator<JobRow> by tables::servingOrder
     internal val evacuation = EvacuationSystem(tables, openJobSystem, ends, slowStart)
     private val polls = BackendPollSystem(settings, tables, actions, limits, log)
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationPropertyTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationPropertyTest.kt
@@ -14,6 +14,7 @@
 import medlarroute.dispatch.PeerMessage
 import medlarroute.dispatch.SimulatedBackends
 import medlarroute.dispatch.TaskKey
+import medlarroute.dispatch.routing.ToldLoad
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 
@@ -83,7 +84,8 @@
             override fun ownerOrNull() =
                 (DOMAINS - evacuated).let { if (domain in it) domain else it.firstOrNull() } ?: domain
 
-            override fun lessLoadedOrNull(owner: String): String? = (DOMAINS - owner).random(random)
+            override fun nextOrNull(refusedBy: Set<String>): ToldLoad? =
+                (DOMAINS - refusedBy).randomOrNull(random)?.let { ToldLoad(it, loadPercent = 0) }
 
             override fun isOwner(instance: String) = true
 
