--- a/dispatch/src/main/kotlin/medlarroute/dispatch/MemberRemoval.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/MemberRemoval.kt
@@ -86,7 +86,7 @@
         val member = silence.member
         store.removeMember(member) { isRemoved ->
             log.event(
-                "instance", "member-removed", "instance", member.instance, "number", member.number,
+                "instance", "member-removed", "member", member.instance, "number", member.number,
                 "silentMs", silence.forMs, "members", members.size, "removed", isRemoved,
             )
         }
