--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -9,8 +9,8 @@
  * ([DispatchSettings.sharing]), queues below their share are served first, and their jobs by their latest start.
  *
  * Jobs that can't end in time any more only get capacity that no other job can use. A task is placed on the slowest
- * backend server on which its job still ends in time, which keeps the fast ones free for jobs that need them; if there is
- * none, on the fastest.
+ * backend server on which its job still ends in time, which keeps the fast ones free for jobs that need them. If there
+ * is none, it is placed on the fastest.
  * Of backend servers that are about as fast, the one with the least free capacity is chosen, which keeps room for large
  * tasks.
  */
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -1,6 +1,7 @@
 package medlarroute.dispatch
 
 import io.netty.channel.EventLoopGroup
+import medlarroute.allocation.QueueShare
 import medlarroute.dispatch.evacuation.EvacuatedDomains
 import medlarroute.dispatch.evacuation.EvacuationState
 import java.util.concurrent.Future
@@ -85,6 +86,7 @@
 
     /** Number of failure domains that are evacuated, and of the tasks that were therefore not started here. */
     public val evacuatedDomains: Int get() = evacuation.active.size
+    public val queueShares: List<QueueShare> get() = dispatcher.queueShares
     public val startsAvoided: Long get() = dispatcher.evacuation.startsAvoided
 
     /** Whether this instance can accept jobs now. */
