--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -1,5 +1,7 @@
 package medlarroute.dispatch
 
+import medlarroute.allocation.ShareSettings
+
 /**
  * Times and limits of the dispatcher. All times are in milliseconds.
  *
@@ -52,6 +54,7 @@
  * @property overflowPercent load in percent from which an owner is not asked for jobs that other owners have refused,
  *   in deployments with an owner for each failure domain. In the load tests, 120 forwards up to 29% fewer jobs than no
  *   limit, and 0.2% fewer jobs end in time at high load. 0 restores the choice of deployments with a single owner.
+ * @property sharing weights of the queues' guaranteed shares of the cores; null for none.
  * @property maxOpenJobs maximum number of open jobs; bounds memory.
  */
 public data class DispatchSettings(
@@ -84,6 +87,7 @@
     val farRackFactor: Double = 2.0,
     val slowStartMs: Long = 0,
     val overflowPercent: Int = 120,
+    val sharing: ShareSettings? = null,
 ) {
     /** How many times as long a task of [step] is expected to run on [backend] as it would on its preferred rack. */
     internal fun rackFactor(step: StepRequest, backend: BackendInfo): Double =
