Keep the place and the early refusal of moved jobs that were not started

Cause: any resumed job counted as begun. Jobs that an evacuation moves to other owners therefore went before those of the owners' own callers and were held until the callers' deadlines. Found by review. Change: a job of which certainly no task was started counts as not begun. Measured: both tests of MovedJobOrderTest fail without the change; the property tests of concurrent runs, takeovers and suspensions pass.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -222,8 +222,12 @@
         takeover.recordPriorRuns(job, progress, nowMs)
     }
 
+    /**
+     * A job of which certainly no task was started keeps its place in the order and its early refusal; that it is not
+     * reported as not run, where that is unknown, is up to the instance that submits it.
+     */
     private fun resume(job: JobRow, progress: JobProgress, nowMs: Long) {
-        job.everDispatched = true
+        job.everDispatched = !progress.isNotStarted
         job.isResumed = true
         recordPriorRuns(job, progress, nowMs)
         progress.done.mapNotNull(job::task).forEach {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/JobResult.kt
@@ -46,4 +46,8 @@
     public val highestRun: Int = 0,
     public val histories: List<TaskHistory> = emptyList(),
     public val runsEndInMs: Long = 0,
-)
+) {
+    /** Whether certainly no task was started. */
+    internal val isNotStarted: Boolean
+        get() = done.isEmpty() && ordered?.isEmpty() == true && highestRun == 0 && runsEndInMs == 0L
+}
