Register again after each removal, and move evacuated jobs in the tick

Cause: the store's list may show a new row before its write is confirmed; the row was then not recognized as the instance's own, and its next removal was not noticed. A failure while jobs were moved lost the configuration of the same delivery. Both found by review. Measured: the new test of MemberReturnTest.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -53,7 +53,7 @@
     private val networkTick = guardedTimer(log, exit) { network.tick() }
     private var isMembershipKnown = false
 
-    /** Whether the store's list has contained the present registration of this instance. */
+    /** Whether the store's last list contained a registration of this instance. */
     private var isListed = false
     private val memberRemoval = MemberRemoval(settings.self, store, network::isAlive, log, settings.memberGoneMs)
     private var dispatchTicks: Future<*>? = null
@@ -165,8 +165,9 @@
     /** An owner removes the row of an instance that it has not heard for long, such as one that was isolated. */
     private fun registerIfRemoved(members: List<PeerMember>) {
         val wasListed = isListed
-        isListed = members.any { it.instance == self.instance && it.number == self.number }
-        val isRemoved = wasListed && members.none { it.instance == self.instance }
+        // The list may show the row before the store has confirmed it, so the number of the row is not compared.
+        isListed = members.any { it.instance == self.instance }
+        val isRemoved = wasListed && !isListed && self.isRegistered
         if (!isRemoved || leaving) return
         log.event("instance", "registration-removed", "number", self.number)
         register()
@@ -199,7 +200,6 @@
         dispatcher.evacuation.evacuate(evacuation.active, dispatcher.nowMs())
         pendingConfiguration?.let(::onConfiguration)
         pendingConfiguration = null
-        moveEvacuatedJobs()
     }
 
     /** If all failure domains of this instance are evacuated, its jobs go to the owners of others. */
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/LoopbackFleet.kt
@@ -88,6 +88,10 @@
         }
     }
 
+    /** Whether the store's watches show a new row before its writer has the response. */
+    @Volatile
+    var notifiesFirst = false
+
     /** Instances that do not receive the evacuated failure domains from the store. */
     val withoutEvacuated: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
@@ -145,8 +149,9 @@
         override fun register(member: PeerMember, onNumber: (Long?) -> Unit) = synchronized(lock) {
             val number = ++version
             members += member.copy(number = number)
+            if (notifiesFirst) memberWatches.forEach { it() }
             reply { onNumber(number) }
-            memberWatches.forEach { it() }
+            if (!notifiesFirst) memberWatches.forEach { it() }
         }
 
         override fun removeMember(member: PeerMember, onResult: (Boolean) -> Unit) = synchronized(lock) {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/MemberReturnTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/MemberReturnTest.kt
@@ -31,6 +31,21 @@
         }
     }
 
+    /** Guards against the same if the store's list shows the new row before the store has confirmed it. */
+    @Test
+    fun `an instance registers again each time that its row is removed`() {
+        LoopbackFleet(listOf("d1"), perDomainOwnersFrom = 16).use { fleet ->
+            fleet.notifiesFirst = true
+            listOf("a", "b").forEach { fleet.add(it, "d1") }
+            fleet.awaitReady()
+            repeat(2) {
+                val number = fleet.registered().getValue("b")
+                fleet.removeRow("b")
+                fleet.await { (fleet.registered()["b"] ?: 0) > number }
+            }
+        }
+    }
+
     private companion object {
         const val GONE_MS = 2_000L
     }
