Split FleetInstance into classes of their own

These parts move to classes of their own, without a change of behavior:

- PeerMessageHandler: the messages and new connections of peers;
- JobSubmissions: submitted, cancelled and renewed jobs;
- OwnerRouter: the selection of owners for the jobs of own callers;
- StoreRegistration: the registration with the store and its renewal;
- ConfigurationGate: holds the configuration back until the evacuated failure domains are known.

CommandSender stays an inner class: Dispatcher needs it when it is built, and it needs the dispatcher and parts that are built later. The network has the same need, so the inner class PeerEvents passes its calls on to PeerMessageHandler.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoopGroup
 import medlarroute.dispatch.evacuation.EvacuatedDomains
 import medlarroute.dispatch.evacuation.EvacuationState
-import medlarroute.dispatch.routing.ToldLoad
 import medlarroute.dispatch.slowstart.differOnlyInColdTime
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -27,8 +26,9 @@
 ) {
     private val clock = clocks.elapsed
     private val suspensions = SuspensionMonitor(clocks)
-    private var self = settings.self
-    private val network = PeerNetwork({ self }, settings.network, group, clock, PeerMessageHandler(), log)
+    private val registration = StoreRegistration(settings.self, store, group, log, ::onRegistered)
+    private val self: PeerMember get() = registration.self
+    private val network = PeerNetwork({ self }, settings.network, group, clock, PeerEvents(), log)
     private val dispatcher =
         Dispatcher(settings.dispatch, clock, CommandSender(), log)
     private val ownership = Ownership(
@@ -42,25 +42,15 @@
     )
     private val results = RecentResults(clock)
     private val lostInstances = HashSet<String>()
-
-    /** Peers that don't reach the store and have received the members from this instance. */
-    private val withoutStore = HashSet<String>()
     private val listing = BackendListing(clock)
     private var leaving = false
-    private var lastTickAtMs = 0L
     private var ticks = 0L
     private val networkTick = guardedTimer(log, exit) { network.tick() }
     private var isMembershipKnown = false
-
-    /** Whether the store's list has contained the present registration of this instance. */
-    private var isListed = false
     private val memberRemoval = MemberRemoval(settings.self, store, network::isAlive, log, settings.memberGoneMs)
     private var dispatchTicks: Future<*>? = null
-    private val ownerClient = OwnerRouter()
     private val evacuation = EvacuationState(settings.failureDomains, clock, log)
-
-    /** A configuration that is not in force yet since the evacuated failure domains are unknown. */
-    private var pendingConfiguration: DispatchConfiguration? = null
+    private val configurations = ConfigurationGate(dispatcher, evacuation, log)
     private val selection = OwnerSelection(
         own = { PeerView(self, PeerState.ALIVE, ownership.owned, leaving) },
         peers = network::views,
@@ -70,6 +60,9 @@
         evacuated = { evacuation.active },
         overflowPercent = settings.dispatch.overflowPercent,
     )
+    private val submissions =
+        JobSubmissions(settings.self.instance, dispatcher, network, results, ::sendMoved)
+    private val ownerClient = OwnerRouter({ self }, selection, dispatcher, network, submissions, ::onResult)
     private val domainOwners = DomainOwnerTimes(
         clock,
         settings.failureDomains,
@@ -81,10 +74,24 @@
 
     /** Open requests of this instance's callers. */
     public val entry: EntryService = EntryService(clock, ownerClient, log = log)
+    private val peerMessages = PeerMessageHandler(
+        { self },
+        dispatcher,
+        network,
+        entry,
+        submissions,
+        configurations,
+        evacuation,
+        ownerReports,
+        memberRemoval,
+        listing,
+        ::takeList,
+        ::onEvacuated,
+        ::onCancelled,
+    )
 
     /** The current configuration; null until the first one is received. */
-    public var configuration: DispatchConfiguration? = null
-        private set
+    public val configuration: DispatchConfiguration? get() = configurations.current
 
     /** Number of open jobs under this instance's ownership. */
     public val openJobs: Int get() = dispatcher.openJobs
@@ -111,8 +118,8 @@
     public fun start() {
         network.listen(settings.self.host, settings.self.port)
         group.next().execute {
-            register()
-            store.watchConfiguration(::onConfiguration) { onEvacuated(it, "store") }
+            registration.register()
+            store.watchConfiguration(configurations::onConfiguration) { onEvacuated(it, "store") }
             store.watchMembers(::onMembers)
             settings.seeds.forEach { (host, port) -> if (host != self.host) network.dialAddress(host, port) }
         }
@@ -140,64 +147,21 @@
         group.next()
             .scheduleWithFixedDelay(guardedTimer(log, exit, action), periodMs, periodMs, TimeUnit.MILLISECONDS)
 
-    private fun register() {
-        store.register(self) { number ->
-            if (number == null) {
-                group.next().schedule({ register() }, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS)
-            } else {
-                self = self.copy(number = number)
-                ownership.onRegistered(number)
-                log.event("instance", "registered", "number", number)
-                network.broadcast(PeerMessage.Hello(self))
-            }
-        }
+    private fun onRegistered(number: Long) {
+        ownership.onRegistered(number)
+        log.event("instance", "registered", "number", number)
+        network.broadcast(PeerMessage.Hello(self))
     }
 
     private fun onMembers(members: List<PeerMember>) {
         isMembershipKnown = true
         memberRemoval.onMembers(members)
-        registerIfRemoved(members)
+        registration.registerIfRemoved(members, leaving)
         network.setMembers(members.filter { it.instance != self.instance })
     }
 
-    /** An owner removes the row of an instance that it has not heard for long, such as one that was isolated. */
-    private fun registerIfRemoved(members: List<PeerMember>) {
-        val wasListed = isListed
-        isListed = members.any { it.instance == self.instance && it.number == self.number }
-        val isRemoved = wasListed && members.none { it.instance == self.instance }
-        if (!isRemoved || leaving) return
-        log.event("instance", "registration-removed", "number", self.number)
-        register()
-    }
-
-    /** As without a configuration, this instance starts no task before it knows the evacuated failure domains. */
-    private fun onConfiguration(next: DispatchConfiguration) {
-        if (evacuation.current == null) {
-            if (next.version > (pendingConfiguration?.version ?: 0)) pendingConfiguration = next
-            return
-        }
-        val current = configuration
-        if (current != null && next.version <= current.version) return
-        configuration = next
-        log.event(
-            "configuration",
-            "in-force",
-            "version",
-            next.version,
-            "was",
-            current?.version,
-            "queues",
-            next.queues.size,
-        )
-        dispatcher.configure(next)
-    }
-
     private fun onEvacuated(next: EvacuatedDomains, source: String) {
-        if (!evacuation.offer(next, source)) return
-        dispatcher.evacuation.evacuate(evacuation.active, dispatcher.nowMs())
-        pendingConfiguration?.let(::onConfiguration)
-        pendingConfiguration = null
-        moveEvacuatedJobs()
+        if (configurations.onEvacuated(next, source)) moveEvacuatedJobs()
     }
 
     /** If all failure domains of this instance are evacuated, its jobs go to the owners of others. */
@@ -247,10 +211,7 @@
 
     /** Renews the jobs of this instance's own callers, and withdraws those that other instances no longer renew. */
     private fun renewJobs() {
-        // What has arrived before the last tick has been read, also if the process was paused since.
-        val nowMs = dispatcher.nowMs()
-        dispatcher.renew(self.instance, entry.openRequestsAt(self.instance), nowMs - lastTickAtMs)
-        lastTickAtMs = nowMs
+        submissions.renewOwn(entry)
         dispatcher.withdrawUnrenewed().forEach { (origin, job, progress) -> sendMoved(origin, job, progress) }
     }
 
@@ -356,6 +317,8 @@
         }
     }
 
+    private fun onResult(request: Long, job: JobId, result: JobResult) = entry.onResult(request, job, result)
+
     private fun sendMoved(origin: JobOrigin, job: JobId, progress: JobProgress, openAt: String? = null) {
         if (origin.instance == self.instance) {
             entry.onMoved(origin.request, job, progress, openAt)
@@ -405,148 +368,10 @@
         override fun onFenced(failureDomain: String) = ownership.onFenced(failureDomain)
     }
 
-    private inner class OwnerRouter : OwnerClient {
-        override fun ownerOrNull(): String? = selection.ownerOrNull()
+    private inner class PeerEvents : PeerListener {
+        override fun onMessage(peer: PeerMember, message: PeerMessage) = peerMessages.onMessage(peer, message)
 
-        override fun nextOrNull(refusedBy: Set<String>): ToldLoad? = selection.nextOrNull(refusedBy)
-
-        override fun isOwner(instance: String): Boolean =
-            if (instance == self.instance) {
-                dispatcher.ownedDomains.isNotEmpty()
-            } else {
-                network.heartbeatOf(instance)?.owned?.isNotEmpty() == true
-            }
-
-        override fun isAlive(instance: String): Boolean = instance == self.instance || network.isAlive(instance)
-
-        override fun incarnationOrNull(instance: String): Long? {
-            val member = if (instance == self.instance) self else network.memberOrNull(instance)
-            return member?.takeIf { it.isRegistered }?.number
-        }
-
-        override fun submit(owner: String, message: PeerMessage.Submit) {
-            if (dispatcher.isCancelled(message.job.id)) {
-                return entry.onResult(message.number, message.job.id, JobResult.Cancelled)
-            }
-            if (owner == self.instance) return onSubmit(self.instance, message)
-            network.send(owner, message.copy(heardAtMs = network.heardAtMsOrNull(owner)))
-        }
-
-        override fun cancel(owner: String, message: PeerMessage.Cancel) {
-            if (owner == self.instance) onCancel(self.instance, message) else network.send(owner, message)
-        }
-    }
-
-    private fun onSubmit(instance: String, message: PeerMessage.Submit) {
-        val origin = JobOrigin(instance, message.number)
-        val recorded = results.find(origin, message.job.id)
-        // A job that was sent on already is run here, so that two owners can't send it back and forth.
-        val openAt = if (message.progress == null) dispatcher.openJobSystem.otherOwnerOrNull(message.job.id) else null
-        when {
-            recorded != null -> network.send(instance, PeerMessage.Ended(message.number, message.job.id, recorded))
-
-            dispatcher.ownedDomains.isEmpty() -> sendMoved(origin, message.job.id, message.progress ?: JobProgress())
-
-            openAt != null && network.isAlive(openAt) -> sendMoved(origin, message.job.id, NOT_STARTED, openAt)
-
-            else -> dispatcher.submit(
-                message.job,
-                origin,
-                message.timeoutMs,
-                message.waitedMs,
-                message.progress,
-                renewedMsAgo(instance, message),
-                message.unreadMs,
-            )
-        }
-    }
-
-    /** Time since [instance] has certainly waited for the job; longer than any lease if that is unknown. */
-    private fun renewedMsAgo(instance: String, message: PeerMessage.Submit): Long {
-        if (instance == self.instance) return dispatcher.nowMs() - lastTickAtMs
-        val ageMs = message.heardAtMs?.let(network::ageMsOrNull)
-        // The instance renews the request as soon as it has received a recent time.
-        if (ageMs == null || ageMs > RECENT_MS) network.sendHeartbeatNow(instance)
-        return ageMs ?: UNKNOWN_AGE_MS
-    }
-
-    private fun onCancel(instance: String, message: PeerMessage.Cancel) {
-        dispatcher.cancel(message.job, JobOrigin(instance, message.number), "caller left")
-    }
-
-    private inner class PeerMessageHandler : PeerListener {
-        override fun onMessage(peer: PeerMember, message: PeerMessage) {
-            when (message) {
-                is PeerMessage.Hello -> Unit
-
-                is PeerMessage.Heartbeat -> onHeartbeat(peer, message)
-
-                is PeerMessage.Submit -> onSubmit(peer.instance, message)
-
-                is PeerMessage.Cancel -> onCancel(peer.instance, message)
-
-                is PeerMessage.Cancelled -> onCancelled(message.jobs, peer.instance)
-
-                is PeerMessage.OpenRequests -> dispatcher.retainRequests(peer.instance, message.numbers.toSet())
-
-                is PeerMessage.Ended -> entry.onResult(message.number, message.job, message.result)
-
-                is PeerMessage.Moved ->
-                    entry.onMoved(message.number, message.job, message.progress, message.openAt)
-
-                is PeerMessage.Configuration -> {
-                    message.evacuated?.let { onEvacuated(it, peer.instance) }
-                    onConfiguration(message.configuration)
-                }
-
-                is PeerMessage.Backends -> takeList(BackendList(message.version, message.backends), peer.instance)
-
-                is PeerMessage.Histories -> dispatcher.learn(message.histories)
-
-                is PeerMessage.ActiveRuns -> ownerReports.onReceived(peer.instance, message)
-
-                is PeerMessage.Members ->
-                    message.members.filter { it.instance != self.instance }.forEach(network::addMember)
-            }
-        }
-
-        private fun onHeartbeat(peer: PeerMember, heartbeat: PeerMessage.Heartbeat) {
-            heartbeat.renewal?.let { renewal ->
-                network.ageMsOrNull(renewal.heardAtMs)?.let { dispatcher.renew(peer.instance, renewal.requests, it) }
-            }
-            // Instances that reach the store have the members from there.
-            if (heartbeat.storeReachable) {
-                withoutStore -= peer.instance
-            } else if (withoutStore.add(peer.instance)) {
-                network.send(peer.instance, PeerMessage.Members(network.members() + self))
-            }
-            if (heartbeat.owned.isNotEmpty()) {
-                ownerReports.onOwnerHeard(peer.instance, heartbeat.owned.keys)
-            } else {
-                ownerReports.forget(peer.instance)
-            }
-            memberRemoval.onHeartbeat(peer.instance, heartbeat)
-            val current = configuration ?: return
-            val isBehind = evacuation.shouldSend(peer.instance, heartbeat.evacuationVersion)
-            if (isBehind || heartbeat.configurationVersion < current.version) {
-                network.send(peer.instance, PeerMessage.Configuration(current, evacuation.current))
-            }
-        }
-
-        override fun onConnected(peer: PeerMember) {
-            withoutStore -= peer.instance
-            evacuation.onConnected(peer.instance)
-            ownerReports.forget(peer.instance)
-            if (dispatcher.ownedDomains.isNotEmpty()) {
-                network.send(peer.instance, PeerMessage.Backends(listing.backends, listing.version))
-            }
-            val cancelled = dispatcher.cancelledJobs
-            if (cancelled.isNotEmpty()) network.send(peer.instance, PeerMessage.Cancelled(cancelled))
-            val suspects = dispatcher.histories.filter { it.crashes.isNotEmpty() }
-            if (suspects.isNotEmpty()) network.send(peer.instance, PeerMessage.Histories(suspects))
-            network.send(peer.instance, PeerMessage.OpenRequests(entry.openRequestsAt(peer.instance)))
-            entry.onReconnected(peer.instance)
-        }
+        override fun onConnected(peer: PeerMember) = peerMessages.onConnected(peer)
 
         override fun heartbeat(): PeerMessage.Heartbeat = this@FleetInstance.heartbeat()
 
@@ -556,16 +381,8 @@
     }
 
     private companion object {
-        val NOT_STARTED = JobProgress(ordered = emptyList())
         const val OWNERSHIP_TICK_MS = 50L
         const val DISPATCH_TICK_MS = 20L
-        const val REGISTER_RETRY_MS = 300L
-
-        /** A job that was renewed within this time starts at once on most backend servers. */
-        const val RECENT_MS = 300L
-
-        /** Longer than any lease. */
-        const val UNKNOWN_AGE_MS = 60_000L
 
         /** Time without a response of any backend server after which a failure domain counts as unreachable. */
         const val CONTACT_MS = 1_000L
