--- a/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/EntryService.kt
@@ -1,6 +1,6 @@
 package medlarroute.dispatch
 
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 import kotlin.random.Random
 import kotlin.time.TimeSource
 
@@ -10,7 +10,7 @@
     fun ownerOrNull(): String?
 
     /** An owner that may have capacity for a job that the owners [refusedBy] have refused; null if there is none. */
-    fun nextOrNull(refusedBy: Set<String>): ToldLoad?
+    fun nextOrNull(refusedBy: Set<String>): ReportedLoad?
 
     /** Whether [instance] is reachable and owns a failure domain. */
     fun isOwner(instance: String): Boolean
@@ -240,7 +240,7 @@
             return finish(request, refusal)
         }
         log.event(
-            "entry", "job-overflowed", "request", request.requestId, "job", request.job.id,
+            "entry", "job-forwarded", "request", request.requestId, "job", request.job.id,
             "from", request.owner, "to", next.owner, "loadPercent", next.loadPercent,
             "refusedBy", request.refusedBy.size, "code", result.code, "afterMs", nowMs() - request.arrivedAtMs,
         )
@@ -257,7 +257,7 @@
             .minByOrNull { it.retryAfterMs ?: Long.MAX_VALUE }
 
     /** The next owner for a refused job; null if all were asked, none has capacity or the time is over. */
-    private fun nextOwnerOrNull(request: PendingRequest): ToldLoad? {
+    private fun nextOwnerOrNull(request: PendingRequest): ReportedLoad? {
         if (nowMs() >= request.deadlineMs) return null
         return ownerClient.nextOrNull(request.refusedBy)?.takeIf { it.owner !in request.refusedBy }
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/FleetInstance.kt
@@ -163,7 +163,7 @@
 
     /** If all failure domains of this instance are evacuated, its jobs go to the owners of others. */
     private fun moveEvacuatedJobs() {
-        if (dispatcher.evacuation.isNeeded) {
+        if (dispatcher.evacuation.hasJobsToMove) {
             dispatcher.evacuation.moveJobs(selection.otherServingOwners(), dispatcher.nowMs())
         }
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerRouter.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerRouter.kt
@@ -1,6 +1,6 @@
 package medlarroute.dispatch
 
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 
 /**
  * Sends the jobs of this instance's callers to owners, which may be this instance.
@@ -19,7 +19,7 @@
 
     override fun ownerOrNull(): String? = selection.ownerOrNull()
 
-    override fun nextOrNull(refusedBy: Set<String>): ToldLoad? = selection.nextOrNull(refusedBy)
+    override fun nextOrNull(refusedBy: Set<String>): ReportedLoad? = selection.nextOrNull(refusedBy)
 
     override fun isOwner(instance: String): Boolean =
         if (instance == self.instance) {
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/OwnerSelection.kt
@@ -1,7 +1,7 @@
 package medlarroute.dispatch
 
 import medlarroute.dispatch.routing.RefusedJobRouting
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 
 /**
  * Selects the owner to which an instance sends a job.
@@ -52,7 +52,7 @@
         val owners = owners()
         val ownDomain = own().member.failureDomain
         val isEvacuated = isPerDomain() && ownDomain in evacuated()
-        if (isEvacuated) nextOrNull(owners.filter(::isServing))?.let { return it }
+        if (isEvacuated) nextInTurnOrNull(owners.filter(::isServing))?.let { return it }
         val nearest = owners.firstOrNull { isPerDomain() && ownDomain in it.owned }
         return (nearest ?: owners.filter(::isServing).ifEmpty { owners }.minWithOrNull(BEST_OWNER))?.member?.instance
     }
@@ -66,27 +66,27 @@
         return evacuated.isEmpty() || owner.owned.keys.any { it !in evacuated }
     }
 
-    private fun nextOrNull(owners: List<PeerView>): String? =
+    private fun nextInTurnOrNull(owners: List<PeerView>): String? =
         if (owners.isEmpty()) null else owners[turn++.mod(owners.size)].member.instance
 
     /**
      * The next owner for a job that the owners [refusedBy] have refused; null if there is none to be asked. Without an
      * owner for each failure domain, or if switched off, only one other owner with a reserve is asked.
      */
-    fun nextOrNull(refusedBy: Set<String>): ToldLoad? {
-        if (isPerDomain() && overflowPercent > 0) return routing.nextOrNull(toldLoads(refusedBy), refusedBy)
-        return if (refusedBy.size == 1) WITH_RESERVE.nextOrNull(toldLoads(refusedBy), refusedBy) else null
+    fun nextOrNull(refusedBy: Set<String>): ReportedLoad? {
+        if (isPerDomain() && overflowPercent > 0) return routing.nextOrNull(reportedLoads(refusedBy), refusedBy)
+        return if (refusedBy.size == 1) SINGLE_OWNER_ROUTING.nextOrNull(reportedLoads(refusedBy), refusedBy) else null
     }
 
     /**
-     * Loads of the reachable owners that can start tasks. Those that an owner in [askedOwners] tells are more recent
+     * Loads of the reachable owners that can start tasks. Those that an owner in [askedOwners] reports are more recent
      * than the heartbeats of distant owners. They do not count if this instance itself can't reach the owner.
      */
-    private fun toldLoads(askedOwners: Set<String>): List<ToldLoad> {
-        val told = askedOwners.mapNotNull { heartbeatOf(it)?.ownerLoads }
+    private fun reportedLoads(askedOwners: Set<String>): List<ReportedLoad> {
+        val reported = askedOwners.mapNotNull { heartbeatOf(it)?.ownerLoads }
         return owners().filter(::isServing).map { it.member.instance }.map { owner ->
-            val percent = told.firstNotNullOfOrNull { it[owner] } ?: heartbeatOf(owner)?.loadPercent ?: ownLoadPercent()
-            ToldLoad(owner, percent)
+            val byAsked = reported.firstNotNullOfOrNull { it[owner] }
+            ReportedLoad(owner, byAsked ?: heartbeatOf(owner)?.loadPercent ?: ownLoadPercent())
         }
     }
 
@@ -94,6 +94,6 @@
         val BEST_OWNER = compareByDescending<PeerView> { it.owned.size }.thenBy { it.member.number }
 
         /** The choice without an owner for each failure domain: a quarter is kept for the callers of that owner. */
-        val WITH_RESERVE = RefusedJobRouting(limitPercent = 75)
+        val SINGLE_OWNER_ROUTING = RefusedJobRouting(limitPercent = 75)
     }
 }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/evacuation/EvacuationSystem.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/evacuation/EvacuationSystem.kt
@@ -25,7 +25,7 @@
     val startsAvoided: Long get() = tables.startsAvoided
 
     /** Whether this instance has jobs and can't start any task since all its failure domains are evacuated. */
-    val isNeeded: Boolean get() = tables.areAllEvacuated && tables.jobs.isNotEmpty()
+    val hasJobsToMove: Boolean get() = tables.areAllEvacuated && tables.jobs.isNotEmpty()
 
     /** Replaces the set of evacuated failure domains. */
     fun evacuate(domains: Set<String>, nowMs: Long) {
@@ -42,7 +42,7 @@
      * the others wait for the end of the evacuation.
      */
     fun moveJobs(owners: List<String>, nowMs: Long) {
-        if (!isNeeded) return
+        if (!hasJobsToMove) return
         val idle = tables.jobs.values.filter { !it.isRunning && mayMove(it, nowMs) }
         for (job in idle) {
             if (owners.isNotEmpty()) {
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/CrossingJobsTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/CrossingJobsTest.kt
@@ -3,7 +3,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 import org.junit.jupiter.api.Test
 
 /**
@@ -28,7 +28,7 @@
 
         override fun ownerOrNull() = current
 
-        override fun nextOrNull(refusedBy: Set<String>): ToldLoad? = null
+        override fun nextOrNull(refusedBy: Set<String>): ReportedLoad? = null
 
         override fun isOwner(instance: String) = true
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/EntryServiceTest.kt
@@ -4,7 +4,7 @@
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
@@ -28,7 +28,7 @@
 
         override fun incarnationOrNull(instance: String) = incarnation
 
-        override fun nextOrNull(refusedBy: Set<String>) = lessLoaded?.let { ToldLoad(it, 0) }
+        override fun nextOrNull(refusedBy: Set<String>) = lessLoaded?.let { ReportedLoad(it, 0) }
 
         override fun submit(owner: String, message: PeerMessage.Submit) {
             sent += owner to message
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/OwnerChangeTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/OwnerChangeTest.kt
@@ -2,7 +2,7 @@
 
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 import org.junit.jupiter.api.Test
 
 /** A job whose owner changes more than once. */
@@ -15,7 +15,7 @@
     private val ownerClient = object : OwnerClient {
         override fun ownerOrNull() = current
 
-        override fun nextOrNull(refusedBy: Set<String>): ToldLoad? = null
+        override fun nextOrNull(refusedBy: Set<String>): ReportedLoad? = null
 
         override fun isOwner(instance: String) = instance == current
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/SimulatedInstances.kt
@@ -1,6 +1,6 @@
 package medlarroute.dispatch
 
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 import kotlin.random.Random
 import kotlin.time.TimeSource
 
@@ -39,7 +39,7 @@
 
     override fun ownerOrNull(): String? = selection.ownerOrNull()
 
-    override fun nextOrNull(refusedBy: Set<String>): ToldLoad? = selection.nextOrNull(refusedBy)
+    override fun nextOrNull(refusedBy: Set<String>): ReportedLoad? = selection.nextOrNull(refusedBy)
 
     override fun isOwner(instance: String): Boolean = heartbeatOf(instance)?.owned?.isNotEmpty() == true
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationPropertyTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/evacuation/EvacuationPropertyTest.kt
@@ -14,7 +14,7 @@
 import medlarroute.dispatch.PeerMessage
 import medlarroute.dispatch.SimulatedBackends
 import medlarroute.dispatch.TaskKey
-import medlarroute.dispatch.routing.ToldLoad
+import medlarroute.dispatch.routing.ReportedLoad
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 
@@ -84,8 +84,8 @@
             override fun ownerOrNull() =
                 (DOMAINS - evacuated).let { if (domain in it) domain else it.firstOrNull() } ?: domain
 
-            override fun nextOrNull(refusedBy: Set<String>): ToldLoad? =
-                (DOMAINS - refusedBy).randomOrNull(random)?.let { ToldLoad(it, loadPercent = 0) }
+            override fun nextOrNull(refusedBy: Set<String>): ReportedLoad? =
+                (DOMAINS - refusedBy).randomOrNull(random)?.let { ReportedLoad(it, loadPercent = 0) }
 
             override fun isOwner(instance: String) = true
 
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/routing/ForwardedJobPropertyTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/routing/ForwardedJobPropertyTest.kt
@@ -48,7 +48,7 @@
         override fun ownerOrNull() = names.firstOrNull { it in alive }
 
         override fun nextOrNull(refusedBy: Set<String>) =
-            routing.nextOrNull(alive.map { ToldLoad(it, random.nextInt(0, 140)) }, refusedBy)
+            routing.nextOrNull(alive.map { ReportedLoad(it, random.nextInt(0, 140)) }, refusedBy)
 
         override fun isOwner(instance: String) = instance in alive
 
@@ -157,7 +157,7 @@
     fun `only owners below the limit that have not refused are chosen, the least loaded first`() = runBlocking<Unit> {
         checkAll(ITERATIONS, Arb.long()) { seed ->
             val random = Random(seed)
-            val owners = List(random.nextInt(0, 6)) { ToldLoad("o$it", random.nextInt(0, 200)) }
+            val owners = List(random.nextInt(0, 6)) { ReportedLoad("o$it", random.nextInt(0, 200)) }
             val refusedBy = owners.filter { random.nextBoolean() }.mapTo(HashSet()) { it.owner }
             val open = owners.filter { it.owner !in refusedBy && it.loadPercent < 120 }
             val chosen = RefusedJobRouting(limitPercent = 120).nextOrNull(owners, refusedBy)
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/routing/OwnerLoad.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/routing/OwnerLoad.kt
@@ -119,11 +119,11 @@
         private val policy = policy(this)
         val service = EntryService(run.sim.clock, this, log = EventLog { _, _, _ -> })
 
-        val toldLoads get() = owners.map { ToldLoad(it, told[it] ?: 0) }
+        val reportedLoads get() = owners.map { ReportedLoad(it, told[it] ?: 0) }
 
         override fun ownerOrNull(): String? = policy.newJob()
 
-        override fun nextOrNull(refusedBy: Set<String>): ToldLoad? = policy.refused(refusedBy)
+        override fun nextOrNull(refusedBy: Set<String>): ReportedLoad? = policy.refused(refusedBy)
 
         override fun isOwner(instance: String) = instance in run.owners
 
@@ -150,7 +150,7 @@
     interface Policy {
         fun newJob(): String
 
-        fun refused(refusedBy: Set<String>): ToldLoad? = null
+        fun refused(refusedBy: Set<String>): ReportedLoad? = null
     }
 
     /** One run of the load with [policy]; a single owner has all failure domains if [isGlobal]. */
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/routing/OwnerPolicies.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/routing/OwnerPolicies.kt
@@ -12,18 +12,18 @@
 
     override fun newJob() = entry.ownOwner
 
-    override fun refused(refusedBy: Set<String>): ToldLoad? =
-        if (refusedBy.size > 1) null else routing.nextOrNull(entry.toldLoads, refusedBy)
+    override fun refused(refusedBy: Set<String>): ReportedLoad? =
+        if (refusedBy.size > 1) null else routing.nextOrNull(entry.reportedLoads, refusedBy)
 }
 
 internal class LeastLoaded(private val entry: OwnerLoad.Entry) : OwnerLoad.Policy {
-    override fun newJob() = entry.toldLoads.minBy { it.loadPercent }.owner
+    override fun newJob() = entry.reportedLoads.minBy { it.loadPercent }.owner
 }
 
 internal class RandomOfTwo(private val entry: OwnerLoad.Entry) : OwnerLoad.Policy {
     private val random = Random(entry.name.hashCode())
 
-    override fun newJob() = entry.toldLoads.shuffled(random).take(2).minBy { it.loadPercent }.owner
+    override fun newJob() = entry.reportedLoads.shuffled(random).take(2).minBy { it.loadPercent }.owner
 }
 
 /** Each other owner once. */
@@ -32,5 +32,5 @@
 
     override fun newJob() = entry.ownOwner
 
-    override fun refused(refusedBy: Set<String>): ToldLoad? = routing.nextOrNull(entry.toldLoads, refusedBy)
+    override fun refused(refusedBy: Set<String>): ReportedLoad? = routing.nextOrNull(entry.reportedLoads, refusedBy)
 }
