Divide shares among the queues that have work

Cause: a configuration may have dozens of queues without traffic. Each took its part of the shares, so that those of the others were too small for a single task, and each placement pass and admission went over all of them. Change: only queues with running or queued tasks, and that of the job in question, have shares. Measured: the new test of QueueSharingTest (40 queues without work) fails without the change.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchAdmission.kt
@@ -86,7 +86,7 @@
         val rate = workRate(job.queue.service, nowMs)
         val unplacedShare = if (rate > 0) unplacedShare(job, nowMs) else 1.0
         if (unplacedShare == 0.0) return null
-        val ledger = sharing?.ledger(job.queue.service, nowMs)
+        val ledger = sharing?.ledger(job.queue.service, nowMs, applicant = job.queue.id)
         val workAhead =
             job.queuedWork() * unplacedShare +
                 tables.waiting.filter { isServedBefore(it, job, ledger) }.sumOf { it.queuedWork() }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/QueueSharing.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/QueueSharing.kt
@@ -14,11 +14,17 @@
     return !job.everDispatched && isBorrowing(job.queue.id.value, demand.toLong())
 }
 
-/** Guaranteed shares of the cores of each service by queue, as of the tasks in the tables. */
+/**
+ * Guaranteed shares of the cores of each service by queue, as of the tasks in the tables.
+ *
+ * Only queues with running or queued tasks have shares: a configuration may have many more, whose unused shares would
+ * leave next to nothing to the others, and whose number must not matter for the cost of a placement pass.
+ */
 internal class QueueSharing(settings: ShareSettings, private val tables: DispatchTables) {
     private val shares = CapacityShares(settings)
 
-    fun ledger(service: ServiceId, nowMs: Long): ShareLedger {
+    /** @param applicant queue for a job of which the ledger is asked, if it has no tasks yet. */
+    fun ledger(service: ServiceId, nowMs: Long, applicant: QueueId? = null): ShareLedger {
         var capacity = 0L
         val used = HashMap<QueueId, Long>()
         for (row in tables.backends.values) {
@@ -30,7 +36,9 @@
         }
         val queued = HashMap<QueueId, Long>()
         for (job in tables.waiting) queued.merge(job.queue.id, job.queuedCpuMillis(), Long::plus)
-        val queues = tables.configuration?.queues.orEmpty().filter { it.service == service }
+        val queues = (used.keys + queued.keys + listOfNotNull(applicant))
+            .mapNotNull { tables.configuration?.queueOrNull(it) }
+            .filter { it.service == service }
         return shares.divide(
             capacity,
             queues.map { QueueUse(it.id.value, it.priority, used[it.id] ?: 0, queued[it.id] ?: 0) },
--- a/dispatch/src/test/kotlin/medlarroute/dispatch/QueueSharingTest.kt
+++ b/dispatch/src/test/kotlin/medlarroute/dispatch/QueueSharingTest.kt
@@ -9,11 +9,13 @@
 import org.junit.jupiter.api.Test
 
 class QueueSharingTest {
-    private fun sim(weights: List<Double>?): SimulatedBackends {
+    private fun sim(weights: List<Double>?, idleQueues: Int = 0): SimulatedBackends {
         val sim = SimulatedBackends(settings = DispatchSettings(sharing = weights?.let(::ShareSettings)))
+        val idle = List(idleQueues) { SimulatedBackends.queue("idle$it", 0) }
         sim.configure(
             SimulatedBackends.queue("q0", 0, objectiveMs = 1_500),
             SimulatedBackends.queue("q1", 1, objectiveMs = 1_900),
+            *idle.toTypedArray(),
         )
         sim.add("b1", cores = 16)
         sim.takeOver()
@@ -23,8 +25,8 @@
     }
 
     /** The queue of the second job to run, while two jobs of q0 with less time left and one of q1 wait. */
-    private fun second(weights: List<Double>?): List<String> {
-        val sim = sim(weights)
+    private fun second(weights: List<Double>?, idleQueues: Int = 0): List<String> {
+        val sim = sim(weights, idleQueues)
         listOf("a" to "q0", "b" to "q0", "c" to "q1").forEach { (id, queue) ->
             sim.submit(sim.job(id, tasks = 2, cpuMillis = 8_000, queue, estimateMs = 200))
             sim.run(untilMs = sim.nowMs + 5)
@@ -40,6 +42,12 @@
         second(weights = listOf(1.0, 4.0)) shouldContain "c"
     }
 
+    /** Guards against shares that shrink to nothing with the number of configured queues. */
+    @Test
+    fun `queues without work take no part of the shares`() {
+        second(weights = listOf(1.0, 4.0), idleQueues = 40) shouldContain "c"
+    }
+
     /** Guards against callers that return together and meet the same queue, and refusals without their inputs. */
     @Test
     fun `retry times are spread and refusals have their inputs`() {
