Count a job as begun when an instance joins whose earlier owner may have run it

Cause: since a moved job of which nothing was started no longer counts as begun, one that is joined by an instance whose earlier owner may have started tasks could be refused as not run. Change: the join makes it begun. A job without progress that is joined in this way was open to the same fault before.

--- a/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/Dispatcher.kt
@@ -179,7 +179,10 @@
         val open = tables.jobs[request.id]
         progress?.let { crashes.mergeAll(it.histories, nowMs) }
         if (open != null) {
-            if (progress != null && origin !in open.origins) recordPriorRuns(open, progress, nowMs)
+            if (progress != null && origin !in open.origins) {
+                recordPriorRuns(open, progress, nowMs)
+                if (!progress.isNotStarted) open.everDispatched = true
+            }
             open.addOrigin(origin, nowMs - renewedMsAgo, nowMs)
             open.earliestArrivalMs = minOf(open.earliestArrivalMs, nowMs - waitedMs - unreadMs)
             log.event(
