--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchPlacement.kt
@@ -255,8 +255,8 @@
         const val ESTIMATE_MARGIN = 1.5
 
         /**
-         * Run times within this factor count as equal, since speeds are learned and run times vary. In load tests
-         * (SharesLoadTest, 14 seeds) 0.916 of the jobs of the worst queue ended in time with 2, 0.912 with 1.4.
+         * Run times within this factor count as equal, since speeds are learned and run times vary.
+         * SharesLoadTest has the load that it answers.
          */
         const val EQUAL_RUN_FACTOR = 2.0
     }
--- a/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
+++ b/dispatch/src/main/kotlin/medlarroute/dispatch/DispatchSettings.kt
@@ -52,8 +52,8 @@
  *   evacuated, after a restart or an ejection; not after its listed cold time, which has its own end. About two of the
  *   longest usual tasks, so that the first ones have ended before it gets its full share; 0 for none.
  * @property overflowPercent load in percent from which an owner is not asked for jobs that other owners have refused,
- *   in deployments with an owner for each failure domain. In the load tests, 120 forwards up to 29% fewer jobs than no
- *   limit, and 0.2% fewer jobs end in time at high load. 0 restores the choice of deployments with a single owner.
+ *   in deployments with an owner for each failure domain, since it has more queued work than it can start. 0 restores
+ *   the choice of deployments with a single owner.
  * @property sharing weights of the queues' guaranteed shares of the cores; null for none.
  * @property maxOpenJobs maximum number of open jobs; bounds memory.
  */
