--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -13,7 +13,7 @@
 import java.util.function.BooleanSupplier;
 
 /** A small deployment: the store, runners and instances of the program as processes, on loopback addresses. */
-final class Fleet implements Runner.Observer, AutoCloseable {
+class Fleet implements Runner.Observer, AutoCloseable {
     static final String SERVICE = "desk";
     static final String HOST = "floor.example";
     static final long CONTACT_MS = 3_000;
--- a/review/standins-3/PeerProxy.java
+++ b/review/standins-3/PeerProxy.java
@@ -1,3 +1,4 @@
+import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -5,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,7 +17,7 @@
 /**
  * Proxy before the control port of one instance, through which the other instances reach it. While one end of a
  * connection is cut off, nothing passes on it in either direction; what was sent meanwhile passes afterwards, as after a
- * partition, unless its sender has closed the connection.
+ * partition, unless its sender has closed the connection. A connection that is opened meanwhile is closed afterwards.
  *
  * Instances tell each other their addresses in the first frame of a connection, so the proxy translates the address in
  * it to that of the proxy of the sender. Frames are JSON with four bytes of length before them.
@@ -61,35 +63,71 @@
     private void serve(Socket client) throws IOException {
         try (client) {
             client.setTcpNoDelay(true);
-            DataInputStream in = new DataInputStream(client.getInputStream());
+            DataInputStream in = inputOf(client);
             String hello = frame(in);
             Matcher matcher = NAME.matcher(hello);
             String sender = matcher.find() ? matcher.group(1) : "";
-            awaitPath(sender);
+            // What opens a connection is lost during a cut.
+            if (awaitPath(sender)) return;
             try (Socket server = new Socket()) {
                 server.connect(target, 1_000);
                 server.setTcpNoDelay(true);
                 start(() -> {
                     try (client; server) {
-                        pass(new DataInputStream(server.getInputStream()), client, sender);
+                        pass(server, inputOf(server), client, sender);
                     }
                 });
                 send(server, hello);
-                pass(in, server, sender);
+                pass(client, in, server, sender);
             }
         }
     }
 
-    private void pass(DataInputStream in, Socket to, String sender) throws IOException {
+    private void pass(Socket from, DataInputStream in, Socket to, String sender) throws IOException {
         while (true) {
             String frame = frame(in);
-            awaitPath(sender);
+            // What was held up is lost if its sender has closed the connection.
+            if (awaitPath(sender) && isClosed(from, in)) return;
             send(to, frame);
         }
     }
 
-    private void awaitPath(String sender) {
-        while (CUT.contains(sender) || CUT.contains(name)) Fleet.sleep(5);
+    /** Waits for the end of a cut. Returns whether there was one. */
+    private boolean awaitPath(String sender) {
+        boolean wasCut = false;
+        while (CUT.contains(sender) || CUT.contains(name)) {
+            wasCut = true;
+            Fleet.sleep(5);
+        }
+        return wasCut;
+    }
+
+    private static DataInputStream inputOf(Socket socket) throws IOException {
+        return new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+    }
+
+    private static boolean isClosed(Socket socket, DataInputStream in) {
+        try {
+            socket.setSoTimeout(1);
+            in.mark(1);
+            boolean isClosed = in.read() < 0;
+            if (!isClosed) in.reset();
+            socket.setSoTimeout(0);
+            return isClosed;
+        } catch (SocketTimeoutException e) {
+            return !canRead(socket);
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private static boolean canRead(Socket socket) {
+        try {
+            socket.setSoTimeout(0);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     private static String frame(DataInputStream in) throws IOException {
--- a/review/standins-3/Runner.java
+++ b/review/standins-3/Runner.java
@@ -23,11 +23,13 @@
         long startedMs;
         long workMs;
         long cpu;
-        boolean stopping;
+        long stopsAtMs = Long.MAX_VALUE;
     }
 
     private static final long MAX_HOLD_MS = 1_000;
-    private static final long STOP_MS = 30;
+
+    /** A stop takes at most stopGraceMs, which is 50. */
+    private static final long STOP_MS = 40;
 
     final String id;
     final String zone;
@@ -75,8 +77,15 @@
             "coldLeftMs", 0, "capacity", capacity, "labels", labels, "clockMs", clockMs(), "born", born, "seq", ++sequence));
     }
 
-    synchronized int runs() {
-        return running.size();
+    /** The runs besides [task], for the record. */
+    synchronized String others(String task) {
+        StringBuilder others = new StringBuilder();
+        for (Map.Entry<String, Run> entry : running.entrySet()) {
+            if (entry.getKey().equals(task)) continue;
+            others.append(others.length() == 0 ? "" : ", ").append(entry.getKey()).append(" run ").append(entry.getValue().id);
+            if (entry.getValue().stopsAtMs < Long.MAX_VALUE) others.append(" (its stop was ordered before)");
+        }
+        return others.toString();
     }
 
     private void expire() {
@@ -86,7 +95,7 @@
                 for (Map.Entry<String, Run> entry : new ArrayList<>(running.entrySet())) {
                     Run run = entry.getValue();
                     if (nowMs > leaseMs) end(entry.getKey(), run, "lapsed");
-                    else if (run.stopping) end(entry.getKey(), run, "stopped");
+                    else if (nowMs >= run.stopsAtMs) end(entry.getKey(), run, "stopped");
                     else if (nowMs >= run.startedMs + run.workMs) end(entry.getKey(), run, "done");
                 }
             }
@@ -182,7 +191,7 @@
         token = given;
         highest.merge(task, run, Math::max);
         Run present = running.get(task);
-        if (present != null && present.id <= run) present.stopping = true;
+        if (present != null && present.id <= run) present.stopsAtMs = Math.min(present.stopsAtMs, clockMs() + STOP_MS);
         return ok();
     }
 
