--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -56,7 +56,9 @@
             builder.environment().put("MEDLARROUTE_BOOT", settings.toString());
             builder.redirectErrorStream(true);
             builder.redirectOutput(directory.resolve(name + "-" + (++starts) + ".log").toFile());
+            if (isClosed) return;
             process = builder.start();
+            if (isClosed) process.destroyForcibly();
             startedMs = record.nowMs();
             record.line("platform starts " + name + " (process " + process.pid() + ")");
         }
--- a/review/standins-3/Web.java
+++ b/review/standins-3/Web.java
@@ -4,12 +4,16 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 
 /** HTTP/1.1 server and client of the stand-ins. */
@@ -35,11 +39,21 @@
         }
     }
 
+    private static final Random RANDOM = new Random();
+    private static final Set<String> GIVEN = new HashSet<>();
+
     private Web() {}
 
-    static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+    /** A port of [host] that is free, is not given twice, and is not among those that the system gives to clients. */
+    static synchronized int freePort(String host) throws IOException {
+        while (true) {
+            int port = 20_000 + RANDOM.nextInt(10_000);
+            if (!GIVEN.add(host + ":" + port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // Another process uses it.
+            }
         }
     }
 
